--- a/core/control/event.go
+++ b/core/control/event.go
@@ -14,13 +14,13 @@
 type EffectID uint64
 
 // Outcome tells what became of an effect.
-type Outcome uint8
+type Outcome = structs.Outcome
 
 // The outcomes of an effect.
 const (
-	OutcomeDone    Outcome = iota + 1 // took effect; the answer was received
-	OutcomeNotDone                    // certainly did not take effect
-	OutcomeUnknown                    // may or may not have taken effect, or may still do so
+	OutcomeDone    = structs.OutcomeDone
+	OutcomeNotDone = structs.OutcomeNotDone
+	OutcomeUnknown = structs.OutcomeUnknown
 )
 
 // Event is one input of the reducer.
--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -29,7 +29,7 @@
 	execute func(F) // must not block; runners take the effect over
 	queue   chan B
 	limit   int // events at which TryPost refuses
-	start   time.Time
+	clock   func() time.Duration
 	done    chan struct{}
 }
 
@@ -37,9 +37,16 @@
 // queue is three quarters full, so that outcomes always find room sooner than
 // new work does.
 func New[B, F any](m Machine[B, F], size int, execute func(F)) *Loop[B, F] {
+	start := time.Now()
+	return NewWithClock(m, size, execute, func() time.Duration { return time.Since(start) })
+}
+
+// NewWithClock returns a loop like New that takes the time of events from a
+// clock that never runs backwards.
+func NewWithClock[B, F any](m Machine[B, F], size int, execute func(F), clock func() time.Duration) *Loop[B, F] {
 	return &Loop[B, F]{
 		machine: m, execute: execute, queue: make(chan B, size), limit: size * 3 / 4,
-		start: time.Now(), done: make(chan struct{}),
+		clock: clock, done: make(chan struct{}),
 	}
 }
 
@@ -93,12 +100,11 @@
 		timer.Reset(time.Hour)
 		return
 	}
-	timer.Reset(max(0, at-time.Since(l.start)))
+	timer.Reset(max(0, at-l.clock()))
 }
 
 func (l *Loop[B, F]) step(body B) {
-	now := time.Now()
-	for _, f := range l.machine.Step(now.Sub(l.start), now.UnixMilli(), body) {
+	for _, f := range l.machine.Step(l.clock(), time.Now().UnixMilli(), body) {
 		l.execute(f)
 	}
 }
--- /dev/null
+++ b/core/scheduler/config.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"strings"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// configState is the newest configuration that the host has seen.
+type configState struct {
+	current structs.QueueConfiguration
+	loaded  bool
+	byName  map[string]*structs.Queue
+}
+
+func (c *configState) known() bool { return c.loaded }
+
+// configRows takes in rows of the operator's table. A version that is not
+// higher than the current one is ignored, so that a configuration never reverts.
+func (s *State) configRows(rows []Row, _ bool) {
+	for _, r := range rows {
+		if r.Key != KeyConfiguration {
+			continue
+		}
+		v, ok := r.Value.(ConfigurationRow)
+		if !ok {
+			s.decide(Decision{Part: "config", Action: "configuration cannot be read, keeping the current one", Subject: r.Key, Number: uint64(r.Version)})
+			continue
+		}
+		s.applyConfig(v.QueueConfiguration)
+	}
+}
+
+func (s *State) applyConfig(c structs.QueueConfiguration) {
+	if s.config.loaded && c.Number <= s.config.current.Number {
+		return
+	}
+	s.config = configState{current: c, loaded: true, byName: make(map[string]*structs.Queue, len(c.Queues))}
+	for i := range c.Queues {
+		s.config.byName[c.Queues[i].Name] = &c.Queues[i]
+	}
+	s.decide(Decision{Part: "config", Action: "configuration in force", Subject: s.self.Host, Number: c.Number})
+	if s.leader != nil {
+		s.leader.configChanged()
+	}
+}
+
+// queueOf returns the queue of a request and the rest of its path. The longest
+// matching prefix decides.
+func (c *configState) queueOf(host, path string) (*structs.Queue, string) {
+	var best *structs.Queue
+	for i := range c.current.Queues {
+		q := &c.current.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.PathPrefix) {
+			continue
+		}
+		if best == nil || len(q.PathPrefix) > len(best.PathPrefix) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.PathPrefix):]
+}
+
+// policyOf returns how a job is treated now: as its queue says, or as the queue
+// said when the job was accepted if the queue has been removed since.
+func (c *configState) policyOf(j *structs.Job) *structs.Policy {
+	if q := c.byName[j.Queue]; q != nil {
+		return &q.Policy
+	}
+	return &j.Policy
+}
--- /dev/null
+++ b/core/scheduler/leadership.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// leadLease is how long a leader may act after it sent its last successful
+	// commit. A shorter lease shortens the pause after a leader's loss; the lease
+	// has to outlast one commit that times out and its repeat.
+	leadLease = 3 * time.Second
+	// leadRenew spaces the commits that renew the lease when nothing else is written.
+	leadRenew = 500 * time.Millisecond
+	// leadPoll spaces the looks of other hosts at the lease.
+	leadPoll = 500 * time.Millisecond
+	// leadMargin is kept between the end of a lease for its holder and for the
+	// others, for clocks that differ in rate and for delays on the way.
+	leadMargin = 250 * time.Millisecond
+	// leadSettle is how long a host's path to the store has to have been up before it takes
+	// an expired lease, so that a leader that shared the outage gets to renew first.
+	leadSettle = 800 * time.Millisecond
+)
+
+// leadership is what the host knows about who leads.
+type leadership struct {
+	leader        LeaderRow
+	leaderVersion structs.Version
+	lease         LeaseRow
+	leaseVersion  structs.Version
+	used          UsedRow
+	busy          bool // a takeover is under way
+}
+
+// poll looks at the lease from time to time and takes it over when it has expired.
+func (l *leadership) poll(s *State) {
+	s.read(ReadRows{Table: TableControl}, func(r RowsRead) {
+		if r.Outcome == structs.OutcomeDone {
+			l.learn(s, r.Rows)
+			l.consider(s, r.StoreMS)
+		}
+		s.after(s.jittered(leadPoll), func() { l.poll(s) })
+	})
+}
+
+// learn takes in the rows of leadership.
+func (l *leadership) learn(s *State, rows []Row) {
+	for _, r := range rows {
+		switch v := r.Value.(type) {
+		case LeaderRow:
+			if r.Version > l.leaderVersion {
+				if v.Epoch != l.leader.Epoch {
+					s.decide(Decision{Part: "leader", Action: "leader seen", Subject: v.Host, Number: uint64(v.Epoch)})
+				}
+				l.leader, l.leaderVersion = v, r.Version
+			}
+		case LeaseRow:
+			if r.Version > l.leaseVersion {
+				l.lease, l.leaseVersion = v, r.Version
+			}
+		case UsedRow:
+			l.used = v
+		}
+	}
+	if s.leader != nil && l.leader.Instance != s.self.Instance {
+		s.leader.depose("another host leads")
+	}
+}
+
+// consider takes the lead when nobody holds it.
+func (l *leadership) consider(s *State, storeMS int64) {
+	if s.leader != nil || s.stopping || l.busy {
+		return
+	}
+	released := l.lease.ExpiresMS == 0
+	if !released && storeMS < l.lease.ExpiresMS+leadMargin.Milliseconds() {
+		return
+	}
+	if !released && s.now-s.store.okSince < leadSettle {
+		return
+	}
+	l.takeOver(s, storeMS)
+}
+
+// takeOver writes the next epoch. The conditions on both rows let exactly one
+// host succeed, and only while the former leader has not renewed.
+func (l *leadership) takeOver(s *State, storeMS int64) {
+	l.busy = true
+	sent := s.now
+	row := LeaderRow{Host: s.self.Host, Instance: s.self.Instance, Epoch: l.leader.Epoch + 1}
+	lease := LeaseRow{Instance: s.self.Instance, Sequence: 1, ExpiresMS: storeMS + (leadLease + leadMargin).Milliseconds()}
+	s.commit(Commit{
+		Conditions: []Condition{{TableControl, KeyLeader, l.leaderVersion}, {TableControl, KeyLease, l.leaseVersion}},
+		Writes:     []Write{{TableControl, KeyLeader, row}, {TableControl, KeyLease, lease}},
+	}, func(c Committed) {
+		l.busy = false
+		if c.Outcome != structs.OutcomeDone {
+			// A takeover that took effect without an answer is given up: its
+			// lease runs out and the next takeover has a higher epoch.
+			s.decide(Decision{Part: "leader", Action: "takeover did not succeed", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
+			return
+		}
+		l.leader, l.leaderVersion, l.lease, l.leaseVersion = row, c.Version, lease, c.Version
+		s.decide(Decision{Part: "leader", Action: "took the lead", Subject: s.self.Host, Number: uint64(row.Epoch)})
+		newLeader(s, row.Epoch, c.Version, sent, c.StoreMS)
+	})
+}
--- /dev/null
+++ b/core/scheduler/pace.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	fullPace    = 100
+	unknownPace = -1 // of an adopted run: the former leader may have paced it
+	// paceOver is the tail of a serving task, as a share of its target, from
+	// which tasks that fill beside it are slowed down.
+	paceOver = 0.85
+	// paceFar is the share from which they are slowed down by two levels.
+	paceFar = 1.2
+	// paceHold is how long a level lasts before the next one: an order takes
+	// effect after a tenth of a second and shows in figures of half a second.
+	paceHold = 500 * time.Millisecond
+	// paceRise is how long tails have to be calm before the level rises.
+	paceRise = time.Second
+	// evictAfter is how long tasks that fill stand still before they are moved.
+	evictAfter = 1500 * time.Millisecond
+	// stallAfter is how long a run may show no progress before it is started elsewhere.
+	stallAfter = 2500 * time.Millisecond
+	// warmUp is how long a persistent task may take until it is at work.
+	warmUp = 4 * time.Second
+)
+
+// paceLevels are the shares of work, in percent, at which tasks that fill may go on.
+var paceLevels = [...]int{0, 25, 60, fullPace}
+
+// paceState is how fast the tasks that fill on one worker may work.
+type paceState struct {
+	level     int
+	changed   Instant
+	calmSince Instant // 0: tails are not calm
+}
+
+// shared reports whether tasks that serve and tasks that fill run here.
+func (w *worker) shared() bool {
+	serving, filling := false, false
+	for _, r := range w.runs {
+		serving = serving || r.step.TailTarget > 0
+		filling = filling || r.step.Fills
+	}
+	return serving && filling
+}
+
+// worstTail returns the highest tail of a serving task as a share of its target.
+func (w *worker) worstTail() float64 {
+	var worst float64
+	for _, r := range w.runs {
+		if r.step.TailTarget > 0 && r.phase == phaseRunning {
+			tail := time.Duration(r.gauge) * time.Millisecond
+			worst = max(worst, float64(tail)/float64(r.step.TailTarget))
+		}
+	}
+	return worst
+}
+
+// controlPace slows tasks that fill while tasks that serve miss their target
+// beside them, and speeds them up again when tails are calm.
+func (w *worker) controlPace() {
+	p := &w.pace
+	now := w.l.s.now
+	worst := w.worstTail()
+	if worst >= calmRatio {
+		p.calmSince = 0
+	} else if p.calmSince == 0 {
+		p.calmSince = now
+	}
+	level := paceIndex(p.level)
+	switch {
+	case worst >= paceFar && now-p.changed >= paceHold:
+		level -= 2
+	case worst >= paceOver && now-p.changed >= paceHold:
+		level--
+	case p.calmSince > 0 && now-p.calmSince >= paceRise && now-p.changed >= paceRise:
+		level++
+	}
+	w.setPace(paceLevels[min(max(level, 0), len(paceLevels)-1)], worst)
+	w.evictStill()
+}
+
+func paceIndex(level int) int {
+	for i, v := range paceLevels {
+		if v >= level {
+			return i
+		}
+	}
+	return len(paceLevels) - 1
+}
+
+func (w *worker) setPace(level int, worst float64) {
+	if level != w.pace.level {
+		w.pace.level, w.pace.changed = level, w.l.s.now
+		if w.shared() {
+			w.l.s.decide(Decision{Part: "worker", Action: "pace of filling tasks set", Subject: string(w.id), Number: uint64(level), Reason: ratioText(worst)})
+		}
+	}
+	for _, r := range w.sortedRuns() {
+		if r.step.Fills && r.phase == phaseRunning && r.pace != level && !r.paceBusy {
+			w.l.sendPace(r, level)
+		}
+	}
+}
+
+func ratioText(worst float64) string {
+	return "worst tail at " + strconv.Itoa(int(100*worst)) + "% of its target"
+}
+
+func (l *leaderState) sendPace(r *run, level int) {
+	if !l.valid() {
+		return
+	}
+	r.paceBusy = true
+	e := PaceTask{Order: l.orderTo(r.w), Task: r.ref, Run: r.id, Percent: level}
+	e.ID = l.expectOrder(func(o Ordered) {
+		r.paceBusy = false
+		if o.Outcome == structs.OutcomeDone {
+			r.pace = level
+			r.moved = l.s.now
+		} else {
+			r.pace = unknownPace
+		}
+	})
+	l.s.emit(e)
+}
+
+// evictStill moves a task that stands still because of the pace elsewhere, one
+// at each look.
+func (w *worker) evictStill() {
+	if w.pace.level > 0 || w.l.s.now-w.pace.changed < evictAfter {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if r.step.Fills && r.step.SavesProgress && r.phase == phaseRunning {
+			w.l.stop(r, "stands still beside tasks that serve")
+			return
+		}
+	}
+}
+
+// checkStalls starts runs that show no progress elsewhere.
+func (w *worker) checkStalls() {
+	now := w.l.s.now
+	for _, r := range w.sortedRuns() {
+		if r.phase != phaseRunning || r.pace != fullPace {
+			continue
+		}
+		if !r.stalled(now) {
+			continue
+		}
+		t := r.job.taskAt(r.ref)
+		t.avoid = append(t.avoid, w.id)
+		w.l.stop(r, "no progress")
+		w.stalls++
+		if w.stalls >= 2 {
+			w.stalls = 0
+			w.isolate("tasks stand still")
+		}
+	}
+}
+
+func (r *run) stalled(now Instant) bool {
+	if r.step.Persistent {
+		return r.percent < fullPace && now-r.confirmed > warmUp
+	}
+	return now-max(r.moved, r.confirmed) > stallAfter
+}
--- /dev/null
+++ b/core/scheduler/requests.go
@@ -0,0 +1,310 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// defaultMaxBody limits a request's body where the configuration does not.
+	defaultMaxBody = 256 << 10
+	// maxTasks bounds the tasks of one job over all occurrences, so that one
+	// request cannot take all memory.
+	maxTasks = 20_000
+	// answerReserve is kept of a caller's time for the answer to reach it.
+	answerReserve = 150 * time.Millisecond
+	// defaultWithin is used for callers that don't say how long they wait.
+	defaultWithin = 3 * time.Second
+	// comeBack is the pause named to callers whose request has not run.
+	comeBack = 500 * time.Millisecond
+	// pendingAge is how old the length of a queue may be when it is answered.
+	pendingAge = 500 * time.Millisecond
+)
+
+// request is a caller's request in progress.
+type request struct {
+	id       RequestID
+	arrived  Instant
+	deadline Instant // the answer must leave by then
+	job      structs.JobID
+	unknown  bool // a commit for it may have been or may still be performed
+}
+
+type requestState struct {
+	open map[RequestID]*request
+
+	pending   map[string]int // lengths of queues by name
+	pendingAt Instant
+	havePend  bool
+}
+
+func newRequestState() requestState { return requestState{open: make(map[RequestID]*request)} }
+
+func (r *requestState) remove(id RequestID) { delete(r.open, id) }
+
+func (s *State) requestArrived(a RequestArrived) {
+	within := a.Within
+	if within <= 0 {
+		within = defaultWithin
+	}
+	r := &request{id: a.Request, arrived: s.now, deadline: s.now + max(within-answerReserve, within/2)}
+	s.requests.open[a.Request] = r
+	if !s.config.known() {
+		s.answer(r, Answer{Status: AnswerNotRun, Reason: "no configuration yet", RetryAfter: comeBack})
+		return
+	}
+	q, rest := s.config.queueOf(a.Host, a.Path)
+	if q == nil {
+		s.answer(r, Answer{Status: AnswerNotFound, Reason: "no such queue"})
+		return
+	}
+	if rest == "" {
+		s.queueRequest(r, q, a)
+		return
+	}
+	if !validJobID(rest) {
+		s.answer(r, Answer{Status: AnswerInvalid, Reason: "the job ID is not 16 hexadecimal digits"})
+		return
+	}
+	r.job = structs.JobID(rest)
+	s.jobRequest(r, q, a)
+}
+
+func (s *State) queueRequest(r *request, q *structs.Queue, a RequestArrived) {
+	if a.Kind != RequestState {
+		s.answer(r, Answer{Status: AnswerNotAllowed, Reason: "a queue only tells its length"})
+		return
+	}
+	s.answerPending(r, q)
+}
+
+func (s *State) jobRequest(r *request, q *structs.Queue, a RequestArrived) {
+	switch a.Kind {
+	case RequestInvalid:
+		s.answer(r, Answer{Status: AnswerInvalid, Reason: a.Fault})
+	case RequestState:
+		s.readState(r)
+	case RequestCancel:
+		s.cancelJob(r)
+	case RequestSubmit:
+		s.submit(r, q, a)
+	}
+}
+
+// answer ends a request. The caller may have left already.
+func (s *State) answer(r *request, a Answer) {
+	if _, open := s.requests.open[r.id]; !open {
+		return
+	}
+	s.requests.remove(r.id)
+	a.Request = r.id
+	s.emit(a)
+	if a.Status != AnswerOK {
+		s.decide(Decision{
+			Part: "request", Action: "refused: " + a.Status.String(), Subject: string(r.job), Reason: a.Reason,
+			Age: s.now - r.arrived, Number: uint64(r.id),
+		})
+	}
+}
+
+// submit stores a job. The caller is told success only once the store has it.
+func (s *State) submit(r *request, q *structs.Queue, a RequestArrived) {
+	limit := s.config.current.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if a.Body > limit {
+		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the body is over the limit"})
+		return
+	}
+	job := a.Job
+	job.ID, job.Queue, job.Policy, job.Wall = r.job, q.Name, q.Policy, s.wall
+	if fault := jobFault(&job); fault != "" {
+		s.answer(r, Answer{Status: AnswerInvalid, Reason: fault})
+		return
+	}
+	if s.store.refuseNow(s.now) {
+		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: comeBack})
+		return
+	}
+	s.submitAttempt(r, job)
+}
+
+func (s *State) submitAttempt(r *request, job structs.Job) {
+	key := string(job.ID)
+	s.commit(Commit{
+		Conditions: []Condition{{TableJobs, key, 0}},
+		Writes: []Write{
+			{TableJobs, key, JobRow{job}},
+			{TableProgress, key, ProgressRow{structs.Progress{State: structs.JobQueued}}},
+		},
+	}, func(c Committed) { s.submitted(r, job, c) })
+}
+
+func (s *State) submitted(r *request, job structs.Job, c Committed) {
+	switch {
+	case c.Outcome == structs.OutcomeDone:
+		s.decide(Decision{Part: "request", Action: "job accepted", Subject: string(job.ID), Where: job.Queue, Age: s.now - r.arrived, Number: s.config.current.Number})
+		s.answer(r, Answer{Status: AnswerOK})
+	case len(c.Conflicts) > 0:
+		// The job is there: from an earlier request or an earlier attempt.
+		s.answer(r, Answer{Status: AnswerOK})
+	case c.Outcome == structs.OutcomeNotDone && !r.unknown:
+		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store refused the job", RetryAfter: comeBack})
+	default:
+		r.unknown = true
+		s.retry(r, func() { s.submitAttempt(r, job) })
+	}
+}
+
+// retry repeats the work for a request while its caller waits. The outcome of
+// what was tried so far is unknown, and the answer says so.
+func (s *State) retry(r *request, again func()) {
+	if s.now+storeRetry >= r.deadline {
+		s.answer(r, Answer{Status: AnswerUnknown, Reason: "no answer from the store", RetryAfter: comeBack})
+		return
+	}
+	s.after(storeRetry, func() {
+		if _, open := s.requests.open[r.id]; open {
+			again()
+		}
+	})
+}
+
+func (s *State) readProgress(job structs.JobID, done func(RowsRead)) {
+	s.read(ReadRows{Table: TableProgress, From: string(job), To: string(job) + "\x00", Limit: 1}, done)
+}
+
+func (s *State) readState(r *request) {
+	s.readProgress(r.job, func(got RowsRead) {
+		switch {
+		case got.Outcome != structs.OutcomeDone:
+			s.retry(r, func() { s.readState(r) })
+		case len(got.Rows) == 0:
+			s.answer(r, Answer{Status: AnswerGone, Reason: "no such job"})
+		default:
+			p, ok := got.Rows[0].Value.(ProgressRow)
+			if !ok {
+				s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job's state cannot be read"})
+				return
+			}
+			s.answer(r, Answer{Status: AnswerOK, State: p.State})
+		}
+	})
+}
+
+func (s *State) cancelJob(r *request) {
+	s.readProgress(r.job, func(got RowsRead) {
+		switch {
+		case got.Outcome != structs.OutcomeDone:
+			s.retry(r, func() { s.cancelJob(r) })
+		case len(got.Rows) == 0:
+			s.answer(r, Answer{Status: AnswerGone, Reason: "no such job"})
+		default:
+			if p, ok := got.Rows[0].Value.(ProgressRow); ok && p.State.Final() {
+				s.answer(r, Answer{Status: AnswerOK})
+				return
+			}
+			s.writeCancel(r)
+		}
+	})
+}
+
+func (s *State) writeCancel(r *request) {
+	s.commit(Commit{Writes: []Write{{TableCancels, string(r.job), CancelRow{Host: s.self.Host}}}}, func(c Committed) {
+		if c.Outcome != structs.OutcomeDone {
+			s.retry(r, func() { s.writeCancel(r) })
+			return
+		}
+		s.decide(Decision{Part: "request", Action: "cancel accepted", Subject: string(r.job), Age: s.now - r.arrived})
+		s.answer(r, Answer{Status: AnswerOK})
+	})
+}
+
+func (s *State) answerPending(r *request, q *structs.Queue) {
+	if s.requests.havePend && s.now-s.requests.pendingAt < pendingAge {
+		s.answer(r, Answer{Status: AnswerOK, IsPending: true, Pending: s.requests.pending[q.Name]})
+		return
+	}
+	s.read(ReadRows{Table: TableQueues, From: KeyPending, Limit: 1}, func(got RowsRead) {
+		if got.Outcome != structs.OutcomeDone {
+			s.retry(r, func() { s.answerPending(r, q) })
+			return
+		}
+		s.requests.pending = nil
+		for _, row := range got.Rows {
+			if p, ok := row.Value.(PendingRow); ok {
+				s.requests.pending = p.Jobs
+			}
+		}
+		s.requests.pendingAt, s.requests.havePend = s.now, true
+		s.answer(r, Answer{Status: AnswerOK, IsPending: true, Pending: s.requests.pending[q.Name]})
+	})
+}
+
+const jobIDDigits = 16
+
+func validJobID(id string) bool {
+	if len(id) != jobIDDigits {
+		return false
+	}
+	for _, c := range []byte(id) {
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'f', c >= 'A' && c <= 'F':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// jobFault returns what makes a job unusable, or an empty string.
+func jobFault(j *structs.Job) string {
+	if len(j.Steps) == 0 {
+		return "the job has no steps"
+	}
+	tasks := 0
+	for i, step := range j.Steps {
+		if step.Count <= 0 {
+			return "a step has no tasks"
+		}
+		if step.Request.MilliCores < 0 || step.Request.MemoryMB < 0 || step.Request.Accelerators < 0 {
+			return "a step requests less than nothing"
+		}
+		for _, a := range step.After {
+			if a < 0 || a >= i {
+				return "a step waits for a step that is not before it"
+			}
+		}
+		tasks += step.Count
+		if tasks > maxTasks {
+			return "the job has too many tasks"
+		}
+	}
+	if j.Repeat != nil && (j.Repeat.Count < 1 || j.Repeat.EveryMS < 0 || tasks > maxTasks/j.Repeat.Count) {
+		return "the job repeats too often"
+	}
+	return ""
+}
+
+// String returns the status in logs.
+func (a AnswerStatus) String() string {
+	switch a {
+	case AnswerOK:
+		return "ok"
+	case AnswerNotFound:
+		return "no such queue"
+	case AnswerGone:
+		return "no such job"
+	case AnswerInvalid:
+		return "invalid"
+	case AnswerTooLarge:
+		return "too large"
+	case AnswerNotRun:
+		return "not run"
+	case AnswerNotAllowed:
+		return "not allowed"
+	}
+	return "unknown outcome"
+}
--- /dev/null
+++ b/core/scheduler/rows.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import "github.com/tamarackstep/tamarackstep/core/structs"
+
+// Table names a table of the platform's store.
+type Table uint8
+
+// The tables. TableOperator and TableWorkers are written by others.
+const (
+	TableOperator Table = iota + 1 // the operator's configuration
+	TableWorkers                   // the platform's list of workers, by worker id
+	TableControl                   // leadership
+	TableJobs                      // jobs as handed in, by job id; written once
+	TableProgress                  // what became of each job, by job id
+	TableCancels                   // requests to cancel, by job id
+	TableQueues                    // lengths of the queues
+)
+
+// Keys of single rows.
+const (
+	KeyConfiguration = "config"
+	KeyLeader        = "leader"
+	KeyLease         = "lease"
+	KeyWorkers       = "workers"
+	KeyPending       = "pending"
+)
+
+// RowValue is the content of a row. The set of types is closed.
+type RowValue interface{ isRowValue() }
+
+// JobRow is a job as it was accepted.
+type JobRow struct{ structs.Job }
+
+// ProgressRow is what became of a job.
+type ProgressRow struct{ structs.Progress }
+
+// CancelRow asks for a job to be cancelled.
+type CancelRow struct {
+	Host string `json:"host"` // that accepted the request
+}
+
+// LeaderRow names the leader. It changes only when the leader changes, and each
+// commit of a leader is conditional on it.
+type LeaderRow struct {
+	Host     string             `json:"host"`
+	Instance structs.InstanceID `json:"instance"`
+	Epoch    structs.Epoch      `json:"epoch"`
+}
+
+// LeaseRow is the leader's lease. Each commit of the leader replaces it and is
+// conditional on its version, so that a delayed commit can't overwrite a later one.
+type LeaseRow struct {
+	Instance  structs.InstanceID `json:"instance"`
+	Sequence  uint64             `json:"sequence"`   // of the leader's commits
+	ExpiresMS int64              `json:"expires_ms"` // on the store's clock; 0: released
+}
+
+// UsedRow names the workers on which a leader may have started runs, with their
+// addresses. A new leader reads their lists, or waits until their leases have
+// run out, before it starts a task that its predecessor may have started.
+type UsedRow struct {
+	Workers map[structs.WorkerID]string `json:"workers"`
+}
+
+// PendingRow holds, by queue, the number of accepted jobs that have not begun.
+type PendingRow struct {
+	Jobs map[string]int `json:"jobs"`
+}
+
+// ConfigurationRow is the operator's configuration.
+type ConfigurationRow struct{ structs.QueueConfiguration }
+
+// WorkerRow is an entry of the platform's list of workers.
+type WorkerRow struct{ structs.WorkerEntry }
+
+func (JobRow) isRowValue()           {}
+func (ProgressRow) isRowValue()      {}
+func (CancelRow) isRowValue()        {}
+func (LeaderRow) isRowValue()        {}
+func (LeaseRow) isRowValue()         {}
+func (UsedRow) isRowValue()          {}
+func (PendingRow) isRowValue()       {}
+func (ConfigurationRow) isRowValue() {}
+func (WorkerRow) isRowValue()        {}
--- /dev/null
+++ b/core/scheduler/state.go
@@ -0,0 +1,215 @@
+package scheduler
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// State is all control state of one host. Only Reduce changes it.
+type State struct {
+	self   Started
+	bounds Bounds
+	now    Instant
+	wall   int64
+	random *rand.Rand
+
+	effects    []Effect
+	nextEffect EffectID
+	pending    map[EffectID]func(EventBody) // handlers of outcomes that are still to come
+
+	timers   timerHeap
+	timerSeq uint64
+
+	store    storeHealth
+	config   configState
+	requests requestState
+	lead     leadership
+	stopping bool
+	ready    bool
+	watches  map[Table]*watch
+
+	leader *leaderState // nil unless this host schedules
+}
+
+// NewState returns the state before the first event, which must be Started.
+func NewState() *State {
+	return &State{
+		pending: make(map[EffectID]func(EventBody)), requests: newRequestState(), watches: make(map[Table]*watch),
+	}
+}
+
+// Reduce applies an event. The returned effects are valid until the next call.
+func Reduce(s *State, e Event) []Effect {
+	s.effects = s.effects[:0]
+	s.now = max(s.now, e.At)
+	s.wall = e.Wall
+	s.apply(e.Body)
+	s.settle()
+	return s.effects
+}
+
+func (s *State) apply(body EventBody) {
+	switch b := body.(type) {
+	case Started:
+		s.start(b)
+	case TimerFired:
+		s.fireTimers()
+	case StopRequested:
+		s.beginStop()
+	case RequestArrived:
+		s.requestArrived(b)
+	case RequestGone:
+		s.requests.remove(b.Request)
+	case RowsRead:
+		s.finish(b.Effect, b)
+	case Committed:
+		s.finish(b.Effect, b)
+	case WorkerHeld:
+		s.finish(b.Effect, b)
+	case Ordered:
+		s.finish(b.Effect, b)
+	}
+}
+
+// settle does the work that several parts may have asked for, once an event.
+func (s *State) settle() {
+	if s.leader != nil {
+		s.leader.settle()
+	}
+	s.updateReady()
+}
+
+func (s *State) start(b Started) {
+	s.self, s.bounds = b, b.Bounds
+	s.random = rand.New(rand.NewPCG(b.Seed, b.Seed))
+	s.decide(Decision{Part: "host", Action: "started", Subject: b.Host, Where: string(b.Instance)})
+	s.watchTable(TableOperator, s.configRows, nil)
+	s.lead.poll(s)
+}
+
+// finish passes an outcome to the handler that waits for it.
+func (s *State) finish(id EffectID, body EventBody) {
+	if handle, ok := s.pending[id]; ok {
+		delete(s.pending, id)
+		handle(body)
+	}
+}
+
+// expect returns a fresh identifier and registers the handler of its outcome.
+func (s *State) expect(handle func(EventBody)) EffectID {
+	s.nextEffect++
+	s.pending[s.nextEffect] = handle
+	return s.nextEffect
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) decide(d Decision) { s.emit(d) }
+
+// timer is work at an instant. Timers for one instant fire in the order in
+// which they were set.
+type timer struct {
+	at   Instant
+	seq  uint64
+	fire func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+// after calls fire once the time has passed. Timers cannot be cancelled; fire
+// checks that it still applies.
+func (s *State) after(d time.Duration, fire func()) {
+	s.timerSeq++
+	heap.Push(&s.timers, timer{at: s.now + d, seq: s.timerSeq, fire: fire})
+}
+
+// jittered returns a duration between three quarters and five quarters of d, so
+// that hosts that started together don't stay in step.
+func (s *State) jittered(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(s.random.Int64N(int64(d)/2))
+}
+
+func (s *State) fireTimers() {
+	for len(s.timers) > 0 && s.timers[0].at <= s.now {
+		heap.Pop(&s.timers).(timer).fire()
+	}
+}
+
+// NextDeadline returns when the reducer wants TimerFired.
+func (s *State) NextDeadline() (Instant, bool) {
+	if len(s.timers) == 0 {
+		return 0, false
+	}
+	return s.timers[0].at, true
+}
+
+// Machine runs the reducer in a control loop.
+type Machine struct{ State *State }
+
+// Step applies one event.
+func (m Machine) Step(at time.Duration, wallMS int64, body EventBody) []Effect {
+	return Reduce(m.State, Event{At: at, Wall: wallMS, Body: body})
+}
+
+// NextDeadline returns when the reducer wants TimerFired.
+func (m Machine) NextDeadline() (time.Duration, bool) { return m.State.NextDeadline() }
+
+// Timer returns the event that reports a passed deadline.
+func (m Machine) Timer() EventBody { return TimerFired{} }
+
+// beginStop hands the work over: the balancer sends no new connections, another
+// host takes the lead, and requests are served until the stop ends.
+func (s *State) beginStop() {
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	s.decide(Decision{Part: "host", Action: "planned stop began", Subject: s.self.Host})
+	if s.leader != nil {
+		s.leader.release()
+	}
+	s.after(min(stopServe, s.bounds.Grace/2), func() {
+		s.decide(Decision{Part: "host", Action: "planned stop ended", Subject: s.self.Host})
+		s.emit(StopProcess{})
+	})
+}
+
+// stopServe is how long a host serves after the signal to stop: two probes of
+// the balancer have to fail before new connections stay away.
+const stopServe = 2500 * time.Millisecond
+
+// updateReady tells the balancer when the host can do nothing for callers.
+func (s *State) updateReady() {
+	ready := s.config.known() && !s.stopping && s.store.reachable(s.now)
+	if ready == s.ready {
+		return
+	}
+	s.ready = ready
+	s.emit(SetReady{Ready: ready})
+	s.decide(Decision{Part: "host", Action: readyAction(ready), Subject: s.self.Host, Age: s.now - s.store.lastOK})
+}
+
+func readyAction(ready bool) string {
+	if ready {
+		return "reported ready"
+	}
+	return "reported not ready"
+}
--- /dev/null
+++ b/core/scheduler/store.go
@@ -0,0 +1,212 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// readTimeout and commitTimeout bound one call to the store. A slow store
+	// answers within about half a second; a silent connection costs one call.
+	readTimeout   = 1200 * time.Millisecond
+	commitTimeout = 1200 * time.Millisecond
+	// storeGrace is how long failures may last before the store counts as away.
+	storeGrace = 2 * time.Second
+	// storeRetry spaces repeats of a call that failed.
+	storeRetry = 150 * time.Millisecond
+	// watchWait is the longest wait of one watch. A watch on a connection that
+	// has gone silent is noticed watchSlack after it, which keeps a new
+	// configuration within two seconds.
+	watchWait  = 1200 * time.Millisecond
+	watchSlack = 600 * time.Millisecond
+)
+
+// storeHealth is what the host knows about its path to the store.
+type storeHealth struct {
+	lastOK    Instant
+	failing   bool
+	failedAt  Instant // first failure since lastOK
+	lastFail  Instant
+	okSince   Instant // first success since the last failure
+	anyOK     bool
+	failCount int // since lastOK
+}
+
+// observe takes in the outcome of one call.
+func (h *storeHealth) observe(s *State, outcome structs.Outcome) {
+	if outcome == structs.OutcomeDone {
+		if h.failing || !h.anyOK {
+			h.okSince = s.now
+			s.decide(Decision{Part: "store", Action: "store reached", Subject: s.self.Host, Age: s.now - h.failedAt})
+		}
+		h.failing, h.anyOK, h.lastOK, h.failCount = false, true, s.now, 0
+		return
+	}
+	if !h.failing {
+		h.failedAt = s.now
+		s.decide(Decision{Part: "store", Action: "store call failed", Subject: s.self.Host, Reason: outcomeName(outcome)})
+	}
+	h.failing, h.lastFail = true, s.now
+	h.failCount++
+}
+
+// reachable reports whether the host should take new connections.
+func (h *storeHealth) reachable(now Instant) bool {
+	return h.anyOK && (!h.failing || now-h.failedAt < storeGrace)
+}
+
+// refuseNow reports whether a call is pointless: calls keep failing.
+func (h *storeHealth) refuseNow(now Instant) bool {
+	return h.failing && h.failCount >= 3 && now-h.lastFail < 2*storeRetry
+}
+
+func outcomeName(o structs.Outcome) string {
+	switch o {
+	case structs.OutcomeDone:
+		return "done"
+	case structs.OutcomeNotDone:
+		return "not done"
+	}
+	return "unknown"
+}
+
+// read reads rows and passes the result on.
+func (s *State) read(e ReadRows, done func(RowsRead)) {
+	e.Timeout = readTimeout
+	e.ID = s.expect(func(body EventBody) {
+		r := body.(RowsRead)
+		s.store.observe(s, r.Outcome)
+		done(r)
+	})
+	s.emit(e)
+}
+
+// commit writes rows and passes the result on.
+func (s *State) commit(e Commit, done func(Committed)) {
+	e.Timeout = commitTimeout
+	e.ID = s.expect(func(body EventBody) {
+		r := body.(Committed)
+		if len(r.Conflicts) > 0 {
+			s.store.observe(s, structs.OutcomeDone)
+		} else {
+			s.store.observe(s, r.Outcome)
+		}
+		done(r)
+	})
+	s.emit(e)
+}
+
+// watch follows one table: it reads all rows once and then waits for changes.
+// It starts anew when the store has discarded the history that it needs.
+type watch struct {
+	table    Table
+	rows     func(rows []Row, all bool) // all: every row of the table, others are gone
+	loaded   func()                     // called once after the first complete read; may be nil
+	active   bool
+	after    structs.Version
+	snapshot []Row
+	first    structs.Version // version of the first page of a read
+}
+
+// watchTable follows a table until stopWatch.
+func (s *State) watchTable(t Table, rows func([]Row, bool), loaded func()) {
+	w := &watch{table: t, rows: rows, loaded: loaded, active: true}
+	s.watches[t] = w
+	w.load(s, "")
+}
+
+func (s *State) stopWatch(t Table) {
+	if w := s.watches[t]; w != nil {
+		w.active = false
+		delete(s.watches, t)
+	}
+}
+
+func (w *watch) load(s *State, from string) {
+	if !w.active {
+		return
+	}
+	s.read(ReadRows{Table: w.table, From: from}, func(r RowsRead) {
+		if !w.active {
+			return
+		}
+		if r.Outcome != structs.OutcomeDone {
+			s.after(s.jittered(storeRetry), func() { w.load(s, from) })
+			return
+		}
+		if from == "" {
+			w.snapshot, w.first = nil, r.Version
+		}
+		w.snapshot = append(w.snapshot, r.Rows...)
+		if r.More && len(r.Rows) > 0 {
+			// The next page begins right after the last key of this one.
+			w.load(s, r.Rows[len(r.Rows)-1].Key+"\x00")
+			return
+		}
+		w.loadDone(s)
+	})
+}
+
+func (w *watch) loadDone(s *State) {
+	rows := w.snapshot
+	w.snapshot, w.after = nil, w.first
+	w.rows(rows, true)
+	if loaded := w.loaded; loaded != nil {
+		w.loaded = nil
+		loaded()
+	}
+	w.wait(s)
+}
+
+func (w *watch) wait(s *State) {
+	if !w.active {
+		return
+	}
+	e := WatchRows{Table: w.table, After: w.after, Wait: watchWait, Timeout: watchWait + watchSlack}
+	e.ID = s.expect(func(body EventBody) { w.changed(s, body.(RowsRead)) })
+	s.emit(e)
+}
+
+func (w *watch) changed(s *State, r RowsRead) {
+	if !w.active {
+		return
+	}
+	switch {
+	case r.Expired:
+		s.store.observe(s, structs.OutcomeDone)
+		s.decide(Decision{Part: "store", Action: "history gone, reading the table again", Subject: w.table.String(), Number: uint64(w.after)})
+		w.load(s, "")
+	case r.Outcome != structs.OutcomeDone:
+		s.store.observe(s, r.Outcome)
+		s.after(s.jittered(storeRetry), func() { w.wait(s) })
+	default:
+		s.store.observe(s, structs.OutcomeDone)
+		w.after = max(w.after, r.Version)
+		if len(r.Rows) > 0 {
+			w.rows(r.Rows, false)
+		}
+		w.wait(s)
+	}
+}
+
+// String returns the table's name in logs.
+func (t Table) String() string {
+	switch t {
+	case TableOperator:
+		return "operator"
+	case TableWorkers:
+		return "workers"
+	case TableControl:
+		return "control"
+	case TableJobs:
+		return "jobs"
+	case TableProgress:
+		return "progress"
+	case TableCancels:
+		return "cancels"
+	case TableQueues:
+		return "queues"
+	}
+	return "unknown"
+}
--- a/entry/cmd/tamarackstep/main.go
+++ b/entry/cmd/tamarackstep/main.go
@@ -44,6 +44,9 @@
 	file := serve.Flag("settings", "Settings file (TOML).").Required().PlaceHolder("FILE").String()
 	recordTo := serve.Flag("record", "Write all events of the control loop to a file, for tests.").
 		PlaceHolder("FILE").String()
+	onPlatform := app.Command("platform", "Run a host on the users' platform until a signal ends it.")
+	level := onPlatform.Flag("log-level", "Lowest level of log lines: debug, info, warn or error.").Default("info").
+		Enum("debug", "info", "warn", "error")
 	check := app.Command("check-settings", "Check a settings file and report all its faults.")
 	checked := check.Arg("file", "Settings file (TOML).").Required().String()
 	again := app.Command("replay", "Apply recorded events to a fresh reducer and print the effects.")
@@ -64,6 +67,8 @@
 	switch command {
 	case serve.FullCommand():
 		return runHost(*file, *recordTo, stderr)
+	case onPlatform.FullCommand():
+		return runOnPlatform(*level, stdout, stderr)
 	case check.FullCommand():
 		return checkSettings(*checked, stdout, stderr)
 	case again.FullCommand():
--- a/entry/internal/call/front.go
+++ b/entry/internal/call/front.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/control"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // commandRoom is the number of effects that can wait for one call. The reducer
@@ -19,7 +19,7 @@
 // calls.
 type Front struct {
 	loop      Poster
-	answers   *runner.Answers
+	answers   *runner.Answers[control.EventBody]
 	transport *transport.Transport
 	limits    Limits
 	observe   Observer
@@ -32,7 +32,7 @@
 }
 
 // NewFront returns a front without calls.
-func NewFront(loop Poster, answers *runner.Answers, t *transport.Transport, limits Limits, observe Observer) *Front {
+func NewFront(loop Poster, answers *runner.Answers[control.EventBody], t *transport.Transport, limits Limits, observe Observer) *Front {
 	return &Front{
 		loop: loop, answers: answers, transport: t, limits: limits, observe: observe,
 		calls: make(map[control.CallID]*exchange),
--- a/entry/internal/call/script_test.go
+++ b/entry/internal/call/script_test.go
@@ -13,8 +13,8 @@
 	"github.com/tamarackstep/tamarackstep/core/control"
 	"github.com/tamarackstep/tamarackstep/core/loop"
 	"github.com/tamarackstep/tamarackstep/core/structs"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // waitLimit is a generous bound on everything that a test waits for.
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -17,11 +17,11 @@
 	"github.com/tamarackstep/tamarackstep/entry/internal/operator"
 	"github.com/tamarackstep/tamarackstep/entry/internal/peer"
 	"github.com/tamarackstep/tamarackstep/entry/internal/platform"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
 	"github.com/tamarackstep/tamarackstep/entry/internal/settings"
 	"github.com/tamarackstep/tamarackstep/entry/internal/telemetry"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
 	"github.com/tamarackstep/tamarackstep/entry/internal/worker"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // Host is one entry host's process.
@@ -37,7 +37,7 @@
 	peers    *peer.Client
 	replies  *operator.Replies
 	snapshot *operator.Snapshot
-	pools    map[string]*runner.Pool
+	pools    map[string]*runner.Pool[control.EventBody]
 
 	stopped chan []string // receives the unfinished work of StopProcess; room for one
 }
@@ -47,7 +47,7 @@
 // the log.
 func New(s settings.Settings, log *slog.Logger, lines *logging.Queue, observe func(control.Event)) *Host {
 	h := &Host{
-		settings: s, log: log, numbers: telemetry.New(), pools: make(map[string]*runner.Pool),
+		settings: s, log: log, numbers: telemetry.New(), pools: make(map[string]*runner.Pool[control.EventBody]),
 		stopped: make(chan []string, 1),
 	}
 	machine := timedMachine{
@@ -63,9 +63,9 @@
 }
 
 // connect builds the runners.
-func (h *Host) connect(answers *runner.Answers) {
+func (h *Host) connect(answers *runner.Answers[control.EventBody]) {
 	l := h.settings.Limits
-	pool := func(name string, limit int) *runner.Pool {
+	pool := func(name string, limit int) *runner.Pool[control.EventBody] {
 		p := runner.NewPool(answers, limit, l.WaitingRequests)
 		h.pools[name] = p
 		return p
--- a/entry/internal/logging/queue.go
+++ b/entry/internal/logging/queue.go
@@ -3,6 +3,7 @@
 package logging
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log/slog"
@@ -11,8 +12,12 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/scheduler"
 )
 
+// bufferBytes collects lines that are queued together into one write.
+const bufferBytes = 16 << 10
+
 // dropReportEvery spaces the lines that report dropped lines.
 const dropReportEvery = time.Second
 
@@ -38,8 +43,9 @@
 
 // Logger returns a logger that writes text lines to w through the queue.
 func (q *Queue) Logger(w io.Writer, level slog.Leveler) *slog.Logger {
-	inner := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
-	go q.write(slog.New(inner))
+	buffer := bufio.NewWriterSize(w, bufferBytes)
+	inner := slog.NewTextHandler(buffer, &slog.HandlerOptions{Level: level})
+	go q.write(slog.New(inner), buffer)
 	return slog.New(handler{queue: q, inner: inner})
 }
 
@@ -64,8 +70,9 @@
 	})
 }
 
-func (q *Queue) write(direct *slog.Logger) {
+func (q *Queue) write(direct *slog.Logger, buffer *bufio.Writer) {
 	defer close(q.ended)
+	defer func() { _ = buffer.Flush() }() // there is nowhere to report a failing log
 	var reported uint64
 	var reportedAt time.Time
 	for l := range q.lines {
@@ -77,6 +84,9 @@
 			return
 		}
 		_ = l.handler.Handle(context.Background(), l.record) // there is nowhere to report a failing log
+		if len(q.lines) == 0 {
+			_ = buffer.Flush()
+		}
 	}
 }
 
@@ -110,6 +120,27 @@
 	return handler{queue: h.queue, inner: h.inner.WithGroup(name)}
 }
 
+// Scheduled logs one decision of the scheduler: the part as a prefix, then what
+// was decided, and the inputs with their age and version.
+func Scheduled(log *slog.Logger, d scheduler.Decision) {
+	attrs := make([]slog.Attr, 0, 5)
+	add := func(key, value string) {
+		if value != "" {
+			attrs = append(attrs, slog.String(key, value))
+		}
+	}
+	add("subject", d.Subject)
+	add("where", d.Where)
+	add("reason", d.Reason)
+	if d.Number != 0 {
+		attrs = append(attrs, slog.Uint64("version", d.Number))
+	}
+	if d.Age != 0 {
+		attrs = append(attrs, slog.Int64("age_ms", d.Age.Milliseconds()))
+	}
+	log.LogAttrs(context.Background(), slog.LevelInfo, d.Part+": "+d.Action, attrs...)
+}
+
 // Decision logs one decision of the reducer: the part as a prefix, then what
 // was decided, and the request or task that it belongs to.
 func Decision(log *slog.Logger, d control.DecisionRecord) {
--- a/entry/internal/peer/client.go
+++ b/entry/internal/peer/client.go
@@ -15,8 +15,8 @@
 	"github.com/tamarackstep/tamarackstep/api/tamarackstepv1/tamarackstepv1connect"
 	"github.com/tamarackstep/tamarackstep/core/control"
 	"github.com/tamarackstep/tamarackstep/core/structs"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // HeaderToken carries the shared token of the entry hosts, where the settings
@@ -37,7 +37,7 @@
 	from    structs.HostID
 	token   string
 	http    *http.Client
-	pool    *runner.Pool
+	pool    *runner.Pool[control.EventBody]
 	observe runner.Observer
 
 	mu       sync.Mutex
@@ -67,13 +67,13 @@
 
 // NewClient returns a client that sends as the given host. An empty token is
 // not sent.
-func NewClient(t *transport.Transport, from structs.HostID, token string, pool *runner.Pool, observe runner.Observer) *Client {
+func NewClient(t *transport.Transport, from structs.HostID, token string, pool *runner.Pool[control.EventBody], observe runner.Observer) *Client {
 	return &Client{from: from, token: token, http: &http.Client{Transport: t.Handle()}, pool: pool, observe: observe}
 }
 
 // Send sends a message.
 func (c *Client) Send(f control.SendPeer) {
-	c.pool.Submit(runner.Job{
+	c.pool.Submit(runner.Job[control.EventBody]{
 		Timeout: f.Timeout,
 		Run: func(ctx context.Context) control.EventBody {
 			began := time.Now()
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -12,8 +12,8 @@
 	pb "github.com/tamarackstep/tamarackstep/api/tamarackstepv1"
 	"github.com/tamarackstep/tamarackstep/core/control"
 	"github.com/tamarackstep/tamarackstep/core/structs"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 const (
--- a/entry/internal/platform/client.go
+++ b/entry/internal/platform/client.go
@@ -10,8 +10,8 @@
 	"github.com/tamarackstep/tamarackstep/api/wire"
 	"github.com/tamarackstep/tamarackstep/core/control"
 	"github.com/tamarackstep/tamarackstep/core/structs"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // Client executes effects against the platform at one address. Jobs that find
@@ -19,12 +19,12 @@
 type Client struct {
 	endpoint transport.Endpoint
 	address  string
-	pool     *runner.Pool
+	pool     *runner.Pool[control.EventBody]
 	observe  runner.Observer
 }
 
 // NewClient returns a client of the platform at address (IP:port).
-func NewClient(t *transport.Transport, address string, pool *runner.Pool, observe runner.Observer) *Client {
+func NewClient(t *transport.Transport, address string, pool *runner.Pool[control.EventBody], observe runner.Observer) *Client {
 	return &Client{
 		endpoint: transport.Endpoint{Transport: t, Part: "platform"}, address: address, pool: pool, observe: observe,
 	}
@@ -35,7 +35,7 @@
 	request func(context.Context) (control.Outcome, error),
 	finish func(control.Outcome) control.EventBody,
 ) {
-	c.pool.Submit(runner.Job{
+	c.pool.Submit(runner.Job[control.EventBody]{
 		Timeout: timeout,
 		Run: func(ctx context.Context) control.EventBody {
 			began := time.Now()
@@ -142,7 +142,7 @@
 // get reads a JSON body. Its error is nil exactly when the outcome is done.
 func (c *Client) get(ctx context.Context, step, path string, query url.Values, out any) (control.Outcome, error) {
 	u := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
-	answer, outcome, err := c.endpoint.Exchange(ctx, step, http.MethodGet, u, nil)
+	answer, outcome, err := c.endpoint.Exchange(ctx, step, http.MethodGet, u, nil, nil)
 	if err != nil {
 		return outcome, err
 	}
--- a/entry/internal/platform/objects.go
+++ b/entry/internal/platform/objects.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			return control.OutcomeNotDone, err
 		}
-		answer, outcome, err := c.endpoint.Exchange(ctx, "write-object", http.MethodPut, c.object(f.Name), body)
+		answer, outcome, err := c.endpoint.Exchange(ctx, "write-object", http.MethodPut, c.object(f.Name), nil, body)
 		if err != nil {
 			return outcome, err
 		}
--- a/entry/internal/worker/client.go
+++ b/entry/internal/worker/client.go
@@ -11,26 +11,26 @@
 	"github.com/tamarackstep/tamarackstep/api/wire"
 	"github.com/tamarackstep/tamarackstep/core/control"
 	"github.com/tamarackstep/tamarackstep/core/structs"
-	"github.com/tamarackstep/tamarackstep/entry/internal/runner"
-	"github.com/tamarackstep/tamarackstep/entry/internal/transport"
+	"github.com/tamarackstep/tamarackstep/internal/runner"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // Client executes effects against workers. Jobs that find its pool's queue full
 // are answered "not done".
 type Client struct {
 	endpoint transport.Endpoint
-	pool     *runner.Pool
+	pool     *runner.Pool[control.EventBody]
 	observe  runner.Observer
 }
 
 // NewClient returns a client of all workers.
-func NewClient(t *transport.Transport, pool *runner.Pool, observe runner.Observer) *Client {
+func NewClient(t *transport.Transport, pool *runner.Pool[control.EventBody], observe runner.Observer) *Client {
 	return &Client{endpoint: transport.Endpoint{Transport: t, Part: "worker"}, pool: pool, observe: observe}
 }
 
 // Sync renews leases and reads the status of a worker.
 func (c *Client) Sync(f control.SyncWorker) {
-	c.pool.Submit(runner.Job{
+	c.pool.Submit(runner.Job[control.EventBody]{
 		Timeout: f.Timeout,
 		Run: func(ctx context.Context) control.EventBody {
 			began := time.Now()
@@ -118,7 +118,7 @@
 }
 
 func (c *Client) command(cmd command) {
-	c.pool.Submit(runner.Job{
+	c.pool.Submit(runner.Job[control.EventBody]{
 		Timeout: cmd.timeout,
 		Run: func(ctx context.Context) control.EventBody {
 			began := time.Now()
--- a/entry/internal/runner/pool_test.go
+++ b/internal/runner/pool_test.go
@@ -10,8 +10,8 @@
 
 const limit = 20 * time.Second
 
-func job(id control.EffectID, timeout time.Duration, run func(context.Context)) Job {
-	return Job{
+func job(id control.EffectID, timeout time.Duration, run func(context.Context)) Job[control.EventBody] {
+	return Job[control.EventBody]{
 		Timeout: timeout,
 		Run: func(ctx context.Context) control.EventBody {
 			run(ctx)
--- a/entry/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -11,7 +11,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 // maxAnswerBytes bounds an answer of the platform or a worker that is read
@@ -33,9 +33,10 @@
 	Part      string // names the kind of peer in errors
 }
 
-// Exchange sends a request and reads the whole answer. The error is nil exactly
+// Exchange sends a request with the given headers, which may be nil, and reads
+// the whole answer. The error is nil exactly
 // when the outcome is OutcomeDone; the status is the caller's to judge.
-func (e Endpoint) Exchange(ctx context.Context, step, method string, u url.URL, body []byte) (Answer, control.Outcome, error) {
+func (e Endpoint) Exchange(ctx context.Context, step, method string, u url.URL, header http.Header, body []byte) (Answer, structs.Outcome, error) {
 	failed := oops.In(e.Part).With("step", step).With("peer", u.Host)
 	var reader io.Reader
 	if body != nil {
@@ -43,7 +44,10 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, u.String(), reader)
 	if err != nil {
-		return Answer{}, control.OutcomeNotDone, failed.Wrap(err)
+		return Answer{}, structs.OutcomeNotDone, failed.Wrap(err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
 	}
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -58,19 +62,19 @@
 		err = errAnswerTooLarge
 	}
 	if err != nil {
-		return Answer{}, control.OutcomeUnknown, failed.Wrap(err)
+		return Answer{}, structs.OutcomeUnknown, failed.Wrap(err)
 	}
-	return Answer{Status: resp.StatusCode, Body: data}, control.OutcomeDone, nil
+	return Answer{Status: resp.StatusCode, Body: data}, structs.OutcomeDone, nil
 }
 
 // Post sends a JSON body.
-func (e Endpoint) Post(ctx context.Context, step, address, path string, in any) (Answer, control.Outcome, error) {
+func (e Endpoint) Post(ctx context.Context, step, address, path string, in any) (Answer, structs.Outcome, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		err = oops.In(e.Part).With("step", step).With("peer", address).Wrap(err)
-		return Answer{}, control.OutcomeNotDone, err
+		return Answer{}, structs.OutcomeNotDone, err
 	}
-	return e.Exchange(ctx, step, http.MethodPost, url.URL{Scheme: "http", Host: address, Path: path}, body)
+	return e.Exchange(ctx, step, http.MethodPost, url.URL{Scheme: "http", Host: address, Path: path}, nil, body)
 }
 
 // Decode parses an answer's body.
@@ -84,11 +88,11 @@
 // Refused returns the outcome that a status other than success proves, and an
 // error that describes it. A refusal of the request itself (4xx, other than a
 // timeout) means that it had no effect; anything else proves nothing.
-func (e Endpoint) Refused(step, address string, a Answer) (control.Outcome, error) {
+func (e Endpoint) Refused(step, address string, a Answer) (structs.Outcome, error) {
 	err := oops.In(e.Part).With("step", step).With("peer", address).With("status", a.Status).
 		Errorf("answered with status %d", a.Status)
 	if a.Status >= 400 && a.Status < 500 && a.Status != http.StatusRequestTimeout {
-		return control.OutcomeNotDone, err
+		return structs.OutcomeNotDone, err
 	}
-	return control.OutcomeUnknown, err
+	return structs.OutcomeUnknown, err
 }
--- a/entry/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 // Limits of the connections to one kind of peer.
@@ -105,23 +105,23 @@
 // RoundTrip sends a request, without following redirects. On an error the
 // outcome is OutcomeNotDone when no byte of the request was written to any
 // connection, else OutcomeUnknown. The outcome of an answer is OutcomeDone.
-func (t *Transport) RoundTrip(req *http.Request) (*http.Response, control.Outcome, error) {
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, structs.Outcome, error) {
 	preventReplay(req.Header)
 	a := &attempt{}
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
-		return resp, control.OutcomeDone, nil
+		return resp, structs.OutcomeDone, nil
 	}
 	if a.notSent() {
-		return nil, control.OutcomeNotDone, err
+		return nil, structs.OutcomeNotDone, err
 	}
-	return nil, control.OutcomeUnknown, err
+	return nil, structs.OutcomeUnknown, err
 }
 
 // Failure is the error of a request sent through Handle.
 type Failure struct {
-	Outcome control.Outcome // as RoundTrip returns it
+	Outcome structs.Outcome // as RoundTrip returns it
 	Err     error
 }
 
--- a/entry/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 // serve handles connections on loopback until the test ends.
@@ -44,7 +44,7 @@
 	})
 	tr := New(limits)
 	ctx, cancel := context.WithCancel(context.Background())
-	first := make(chan control.Outcome)
+	first := make(chan structs.Outcome)
 	go func() {
 		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+silent+"/", strings.NewReader("x"))
 		_, o, _ := tr.RoundTrip(req)
@@ -55,11 +55,11 @@
 	short, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer stop()
 	req, _ := http.NewRequestWithContext(short, "POST", "http://"+silent+"/", strings.NewReader("y"))
-	if _, o, err := tr.RoundTrip(req); o != control.OutcomeNotDone {
+	if _, o, err := tr.RoundTrip(req); o != structs.OutcomeNotDone {
 		t.Errorf("without a connection: outcome %v, %v", o, err)
 	}
 	cancel()
-	if o := <-first; o != control.OutcomeUnknown {
+	if o := <-first; o != structs.OutcomeUnknown {
 		t.Errorf("sent and cancelled: outcome %v", o)
 	}
 }
