scheduler: which filling images disturb which serving images is learned pair by pair

Looks at workers show that a few pairs of images raise tails tenfold and most do nothing. Change: looks count for or against each pair; tasks of heavy pairs are moved and not placed there again; pace is left for misses without one image to blame; serving tasks of one image are placed together.

--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -38,6 +38,7 @@
 	early map[structs.JobID]structs.Progress // progress as read from the store, until jobs are taken up
 
 	commits   commitState
+	pressures pressures
 	schedule  scheduleState
 	pending   map[string]int // queue lengths as last written
 	pendingAt Instant
@@ -48,7 +49,7 @@
 		s: s, epoch: epoch, version: version, took: s.now, validUntil: sent + leadLease, storeMS: storeMS, storeAt: s.now,
 		loading: map[Table]bool{TableJobs: true, TableProgress: true, TableCancels: true, TableWorkers: true},
 		jobs:    make(map[structs.JobID]*job), workers: make(map[structs.WorkerID]*worker),
-		early: make(map[structs.JobID]structs.Progress), unaccounted: make(map[structs.WorkerID]bool),
+		early: make(map[structs.JobID]structs.Progress), unaccounted: make(map[structs.WorkerID]bool), pressures: make(pressures),
 	}
 	l.commits.init(version)
 	s.leader = l
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -10,18 +10,19 @@
 const (
 	fullPace    = 100
 	unknownPace = -1 // of an adopted run: the former leader may have paced it
-	// paceOver is the tail of a serving task, as a share of its target, from
-	// which tasks that fill beside it are slowed down.
-	paceOver = 0.85
-	// paceFar is the share from which they are slowed down by two levels.
-	paceFar = 1.2
-	// paceHold is how long a level lasts before the next one: an order takes
+	// calmRatio is the tail of a serving task, as a share of its target, below
+	// which the tasks beside it are taken not to disturb it.
+	calmRatio = 0.7
+	// paceAfter is how long a task that serves may miss its target, where no
+	// single image is to blame, before all tasks that fill beside it are slowed.
+	paceAfter = time.Second
+	// paceHold is how long a pace lasts before the next one: an order takes
 	// effect after a tenth of a second and shows in figures of half a second.
-	paceHold = 500 * time.Millisecond
-	// paceRise is how long tails have to be calm before the level rises.
+	paceHold = 700 * time.Millisecond
+	// paceRise is how long tails have to be calm before the pace rises.
 	paceRise = time.Second
 	// evictAfter is how long tasks that fill stand still before they are moved.
-	evictAfter = 1500 * time.Millisecond
+	evictAfter = time.Second
 	// stallAfter is how long a run may show no progress before it is started elsewhere.
 	stallAfter = 2500 * time.Millisecond
 	// warmUp is how long a persistent task may take until it is at work.
@@ -29,13 +30,14 @@
 )
 
 // paceLevels are the shares of work, in percent, at which tasks that fill may go on.
-var paceLevels = [...]int{0, 25, 60, fullPace}
+var paceLevels = [...]int{0, 30, fullPace}
 
 // paceState is how fast the tasks that fill on one worker may work.
 type paceState struct {
 	level     int
 	changed   Instant
 	calmSince Instant // 0: tails are not calm
+	overSince Instant // 0: no target is missed
 }
 
 // shared reports whether tasks that serve and tasks that fill run here.
@@ -60,30 +62,38 @@
 	return worst
 }
 
-// controlPace slows tasks that fill while tasks that serve miss their target
-// beside them, and speeds them up again when tails are calm.
+// controlPace protects tasks that serve. Tasks whose image is to blame for a
+// missed target are moved; where none is, all that fill are slowed until tails
+// are calm again.
 func (w *worker) controlPace() {
+	w.learnPressure()
 	p := &w.pace
 	now := w.l.s.now
 	worst := w.worstTail()
-	if worst >= calmRatio {
-		p.calmSince = 0
-	} else if p.calmSince == 0 {
-		p.calmSince = now
-	}
+	since(&p.calmSince, worst < calmRatio, now)
+	since(&p.overSince, worst >= 1, now)
 	level := paceIndex(p.level)
 	switch {
-	case worst >= paceFar && now-p.changed >= paceHold:
-		level -= 2
-	case worst >= paceOver && now-p.changed >= paceHold:
+	case now-p.changed < paceHold:
+	case p.overSince > 0 && now-p.overSince >= paceAfter:
 		level--
-	case p.calmSince > 0 && now-p.calmSince >= paceRise && now-p.changed >= paceRise:
+	case p.calmSince > 0 && now-p.calmSince >= paceRise:
 		level++
 	}
 	w.setPace(paceLevels[min(max(level, 0), len(paceLevels)-1)], worst)
 	w.evictStill()
 }
 
+// since keeps the time at which a condition began to hold; 0 while it does not.
+func since(at *Instant, holds bool, now Instant) {
+	switch {
+	case !holds:
+		*at = 0
+	case *at == 0:
+		*at = now
+	}
+}
+
 func paceIndex(level int) int {
 	for i, v := range paceLevels {
 		if v >= level {
@@ -121,7 +131,7 @@
 		r.paceBusy = false
 		if o.Outcome == structs.OutcomeDone {
 			r.pace = level
-			r.moved = l.s.now
+			r.moved, r.paced = l.s.now, l.s.now
 		} else {
 			r.pace = unknownPace
 		}
@@ -129,16 +139,14 @@
 	l.s.emit(e)
 }
 
-// evictStill moves a task that stands still because of the pace elsewhere, one
-// at each look.
+// evictStill moves tasks that stand still because of the pace.
 func (w *worker) evictStill() {
 	if w.pace.level > 0 || w.l.s.now-w.pace.changed < evictAfter {
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.step.Fills && r.step.SavesProgress && r.phase == phaseRunning {
-			w.l.stop(r, "stands still beside tasks that serve")
-			return
+		if r.step.Fills && r.phase == phaseRunning {
+			w.l.moveAway(r, "stands still beside tasks that serve")
 		}
 	}
 }
@@ -153,9 +161,7 @@
 		if !r.stalled(now) {
 			continue
 		}
-		t := r.job.taskAt(r.ref)
-		t.avoid = append(t.avoid, w.id)
-		w.l.stop(r, "no progress")
+		w.l.moveAway(r, "no progress")
 		w.stalls++
 		if w.stalls >= 2 {
 			w.stalls = 0
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -10,11 +10,10 @@
 	// servingUse is the share of their processors that tasks that serve are
 	// taken to use, where tasks that fill get the rest.
 	servingUse = 0.55
-	// calmRatio is the tail of a serving task, as a share of its target, below
-	// which more tasks that fill may be placed beside it.
-	calmRatio = 0.7
-	// tailWeight weighs that share against the share of idle processors.
-	tailWeight = 0.5
+	// Weights of a score, beside the share of idle processors.
+	tailWeight    = 0.2  // of the worst tail as a share of its target
+	unknownWeight = 0.15 // of each serving image whose disturbance by the task's image is not known
+	imageWeight   = 0.3  // of the share of serving tasks here that have the task's own image
 )
 
 // filter reports whether a task may be started on a worker.
@@ -65,7 +64,45 @@
 }
 
 func (w *worker) takesFill(step *structs.Step) bool {
-	return w.pace.level == fullPace && w.worstTail() < calmRatio && w.idleCores() >= step.Request.MilliCores
+	if w.pace.level != fullPace || w.idleCores() < step.Request.MilliCores {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.step.TailTarget > 0 && w.l.pressures.of(r.step.Image, step.Image) == pressureHeavy {
+			return false
+		}
+	}
+	return true
+}
+
+// unknownPressures counts the serving tasks here of which it is not known
+// whether an image disturbs them.
+func (w *worker) unknownPressures(image string) float64 {
+	n := 0.0
+	for _, r := range w.runs {
+		if r.step.TailTarget > 0 && w.l.pressures.of(r.step.Image, image) == pressureUnknown {
+			n++
+		}
+	}
+	return n
+}
+
+// sameImage returns the share of the serving tasks here that have an image.
+// Tasks that fill find more room where few images serve.
+func (w *worker) sameImage(image string) float64 {
+	same, all := 0.0, 0.0
+	for _, r := range w.runs {
+		if r.step.TailTarget > 0 {
+			all++
+			if r.step.Image == image {
+				same++
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return same / all
 }
 
 // score rates a worker that passed the filter; higher is better. Load is spread,
@@ -73,9 +110,12 @@
 func (l *leaderState) score(w *worker, j *job, step *structs.Step) float64 {
 	capacity := float64(max(w.entry.Capacity.MilliCores, 1))
 	var score float64
-	if step.Fills {
-		score = float64(w.idleCores())/capacity - tailWeight*w.worstTail()
-	} else {
+	switch {
+	case step.Fills:
+		score = float64(w.idleCores())/capacity - tailWeight*w.worstTail() - unknownWeight*w.unknownPressures(step.Image)
+	case step.TailTarget > 0:
+		score = float64(w.entry.Capacity.MilliCores-w.taken.MilliCores)/capacity + imageWeight*w.sameImage(step.Image)
+	default:
 		score = float64(w.entry.Capacity.MilliCores-w.taken.MilliCores) / capacity
 	}
 	if step.DataRack != "" && !slices.Contains(w.entry.Labels, step.DataRack) {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -39,7 +40,9 @@
 	percent    int
 	moved      Instant // when percent last changed
 	gauge      int64
-	pace       int // percent as last ordered
+	atWork     Instant // since when a persistent task is at work; 0: it is not
+	paced      Instant // when the pace last changed
+	pace       int     // percent as last ordered
 	paceBusy   bool
 }
 
@@ -174,6 +177,14 @@
 	l.sendStop(r)
 }
 
+// moveAway stops a run so that its task is started on another worker.
+func (l *leaderState) moveAway(r *run, reason string) {
+	if t := r.job.taskAt(r.ref); !slices.Contains(t.avoid, r.w.id) {
+		t.avoid = append(t.avoid, r.w.id)
+	}
+	l.stop(r, reason)
+}
+
 func (l *leaderState) sendStop(r *run) {
 	if r.stopBusy || r.w.runs[r.key()] != r || r.stopAcked > 0 {
 		return
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -375,6 +375,7 @@
 			r.moved = l.s.now
 		}
 		r.percent, r.gauge = a.Percent, a.Gauge
+		since(&r.atWork, r.step.Persistent && r.percent == fullPace, l.s.now)
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
 		}
