scheduler: draining workers are evacuated, and looks without an answer no longer move the lease on

Change: persistent tasks, and tasks that outlast the worker, move when it drains; a worker that does not answer gets no lease; leases last 6 s at most, so that a worker lost for good holds its tasks less long. Tests: a world of hosts, a store and workers in virtual time with an oracle; TestDrainingWorkerIsEvacuated, TestTasksOfLostWorkerRunAgain and others.

--- /dev/null
+++ b/core/scheduler/evacuate.go
@@ -0,0 +1,40 @@
+package scheduler
+
+import "time"
+
+// evacuateMargin is kept between the expected end of a run and the time at
+// which its worker leaves.
+const evacuateMargin = 300 * time.Millisecond
+
+// evacuate moves what cannot end on a draining worker: persistent tasks, and
+// tasks that need longer than the worker stays. A task moves only when another
+// worker has room for it.
+func (w *worker) evacuate() {
+	if !w.entry.Draining {
+		return
+	}
+	l := w.l
+	for _, r := range w.sortedRuns() {
+		if r.phase != phaseRunning || r.stopAsked > 0 || r.step.Gang {
+			continue
+		}
+		if !r.step.Persistent && !r.outlasts(l.s.now, w.leavesAt) {
+			continue
+		}
+		if l.pick(r.job, r.ref, r.job.taskAt(r.ref)) == nil {
+			continue
+		}
+		l.stop(r, "the worker drains")
+	}
+}
+
+// outlasts reports whether a run that saves its progress will still work when
+// its worker leaves, judging by its progress so far.
+func (r *run) outlasts(now, leaves Instant) bool {
+	if !r.step.SavesProgress || r.percent <= 0 {
+		return false
+	}
+	worked := now - r.confirmed
+	remaining := worked * time.Duration(100-r.percent) / time.Duration(r.percent)
+	return now+remaining+evacuateMargin > leaves
+}
--- /dev/null
+++ b/core/scheduler/scheduler_test.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const jobA, jobB = "00000000000000aa", "00000000000000bb"
+
+// Guards the whole path: a job of two steps is accepted, run in order and shown
+// as completed.
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.settled()
+	job := oneStep(6, 500*time.Millisecond, 2000)
+	job.Steps = append(job.Steps, structs.Step{Count: 2, Request: job.Steps[0].Request, After: []int{0}})
+	w.accepted(w.hosts[2], jobA, job)
+	w.until(3*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	req := w.ask(w.hosts[1], RequestState, "/q/"+jobA)
+	w.run(time.Second)
+	if a := w.answers[req]; a.Status != AnswerOK || a.State != structs.JobCompleted {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Guards against a lost leader that leaves jobs without a scheduler, and
+// against tasks that a new leader starts although they still run.
+func TestNewLeaderAdoptsRuns(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(8, 6*time.Second, 1000))
+	w.run(time.Second)
+	w.leader().kill()
+	w.until(12*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	starts := 0
+	for _, f := range w.workers {
+		starts += f.starts
+	}
+	if starts != 8 {
+		t.Errorf("%d starts of 8 tasks", starts)
+	}
+}
+
+// Guards against a worker that is gone without a word and whose tasks never
+// run again: looks without an answer must not move the end of its lease on.
+func TestTasksOfLostWorkerRunAgain(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.settled()
+	job := oneStep(1, time.Second, 1000)
+	job.Steps[0].Persistent = true
+	w.accepted(w.hosts[0], jobA, job)
+	ref := structs.TaskRef{Job: jobA}
+	w.until(time.Second, "start", func() bool { return w.running(ref) != nil })
+	w.run(2 * time.Second)
+	lost := w.running(ref)
+	lost.crash()
+	w.until(leaseBound(testBounds)+time.Second, "start elsewhere", func() bool { return w.running(ref) != nil })
+}
+
+// Guards against persistent tasks that stay on a worker until it leaves: they
+// would be away until its lease has run out.
+func TestDrainingWorkerIsEvacuated(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.settled()
+	job := oneStep(1, time.Second, 1000)
+	job.Steps[0].Persistent = true
+	w.accepted(w.hosts[0], jobA, job)
+	ref := structs.TaskRef{Job: jobA}
+	w.until(time.Second, "start", func() bool { return w.running(ref) != nil })
+	w.run(time.Second)
+	leaving := w.running(ref)
+	leaving.list(true)
+	w.until(2*time.Second, "start elsewhere", func() bool { f := w.running(ref); return f != nil && f != leaving })
+}
+
+// Guards against a start without an answer that is given up and carried out
+// later, beside a second run of the task.
+func TestStartWithoutAnswer(t *testing.T) {
+	for name, fate := range map[string]startFate{"carried out": startUnanswered, "lost": startLost, "late": startLate} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 3)
+			w.settled()
+			first := true
+			for _, f := range w.workers {
+				f.onStart = func(StartTask) startFate {
+					if first {
+						first = false
+						return fate
+					}
+					return startAnswered
+				}
+			}
+			w.accepted(w.hosts[0], jobA, oneStep(2, time.Second, 1000))
+			w.until(8*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+			w.run(5 * time.Second)
+		})
+	}
+}
+
+// Guards against a worker that is cut off and runs on: its tasks must not be
+// started elsewhere before its lease has run out.
+func TestCutWorkerRunsOn(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(3, 4*time.Second, 1000))
+	w.run(time.Second)
+	ref := structs.TaskRef{Job: jobA}
+	w.running(ref).cut = true
+	w.until(20*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+}
+
+// Guards against a leader that acts after it was suspended beyond its lease.
+func TestFrozenLeaderWakes(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(8, 3*time.Second, 1000))
+	w.run(500 * time.Millisecond)
+	old := w.leader()
+	old.frozen = true
+	w.run(6 * time.Second)
+	old.thaw()
+	w.accepted(w.hosts[1], jobB, oneStep(4, time.Second, 1000))
+	w.until(12*time.Second, "completion", func() bool {
+		return w.progress(jobA) == structs.JobCompleted && w.progress(jobB) == structs.JobCompleted
+	})
+}
+
+// Guards against a commit that the store performs late and that overwrites a
+// newer state.
+func TestLateCommitDoesNotRevert(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settled()
+	lost := false
+	w.store.lose = func(_ *fakeHost, e Commit) int {
+		for _, write := range e.Writes {
+			if p, ok := write.Value.(ProgressRow); ok && p.State == structs.JobRunning && !lost {
+				lost = true
+				return commitLate
+			}
+		}
+		return commitAnswered
+	}
+	w.accepted(w.hosts[0], jobA, oneStep(2, 100*time.Millisecond, 1000))
+	w.until(5*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	w.run(5 * time.Second)
+	if !lost || w.progress(jobA) != structs.JobCompleted {
+		t.Errorf("lost %v, state %s", lost, w.progress(jobA))
+	}
+}
+
+// Guards against "not run" for a job that the store has taken: a commit without
+// an answer may have been performed.
+func TestUnknownAcceptanceIsNotRefused(t *testing.T) {
+	for _, late := range []int{commitUnanswered, commitLate} {
+		w := newWorld(t, 2, 2)
+		w.settled()
+		w.store.lose = func(_ *fakeHost, e Commit) int {
+			for _, write := range e.Writes {
+				if _, ok := write.Value.(JobRow); ok {
+					return late
+				}
+			}
+			return commitAnswered
+		}
+		req := w.submit(w.hosts[0], jobA, oneStep(1, 100*time.Millisecond, 1000))
+		w.run(4 * time.Second)
+		if a := w.answers[req]; a.Status != AnswerOK && a.Status != AnswerUnknown {
+			t.Errorf("answer %v to a job that may have been stored", a.Status)
+		}
+	}
+}
+
+// Guards against acceptance that waits for a store that refuses: the caller
+// gets its final answer at once and may come back.
+func TestStoreRefusesAcceptance(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settled()
+	w.store.refuse = true
+	req := w.submit(w.hosts[0], jobA, oneStep(1, time.Second, 1000))
+	w.run(100 * time.Millisecond)
+	if a := w.answers[req]; a.Status != AnswerNotRun || a.RetryAfter == 0 {
+		t.Errorf("answer %+v", a)
+	}
+	w.store.refuse = false
+	w.run(10 * time.Second)
+	if w.store.get(TableJobs, jobA) != nil {
+		t.Error("a refused job is stored")
+	}
+}
+
+// Guards against a job that fails although its worker is at fault: the task
+// goes to another worker, and the failing one gets no more work.
+func TestFailingWorkerIsAvoided(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.settled()
+	w.workers["w00"].failing = true
+	for _, id := range []string{jobA, jobB, "00000000000000cc"} {
+		w.accepted(w.hosts[0], id, oneStep(4, 100*time.Millisecond, 1000))
+	}
+	for _, id := range []string{jobA, jobB, "00000000000000cc"} {
+		w.until(5*time.Second, "completion", func() bool { return w.progress(id) == structs.JobCompleted })
+	}
+}
+
+// Guards against tasks that stand still on a worker for good.
+func TestHangingWorkerIsLeft(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.settled()
+	w.workers["w00"].hanging = true
+	w.accepted(w.hosts[0], jobA, oneStep(6, 300*time.Millisecond, 2000))
+	w.until(10*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+}
+
+// Guards against work that goes on after its job was cancelled, and against a
+// cancel that a new leader forgets.
+func TestCancel(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(2, time.Hour, 1000))
+	w.run(500 * time.Millisecond)
+	leader := w.leader()
+	req := w.ask(w.hosts[1], RequestCancel, "/q/"+jobA)
+	w.until(time.Second, "confirmation", func() bool { return w.answers[req].Status == AnswerOK })
+	leader.kill()
+	w.until(8*time.Second, "end of the runs", func() bool {
+		return w.progress(jobA) == structs.JobCancelled && w.running(structs.TaskRef{Job: jobA}) == nil
+	})
+}
+
+// Guards against work that a task under the same ID loses when the worker
+// starts again, and against ends that are taken for those of the earlier life.
+func TestWorkerStartsAgain(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(2, time.Second, 1000))
+	w.run(1500 * time.Millisecond)
+	w.accepted(w.hosts[0], jobB, oneStep(2, time.Second, 1000))
+	w.run(500 * time.Millisecond)
+	f := w.workers["w00"]
+	f.crash()
+	f.boot()
+	w.until(8*time.Second, "completion", func() bool { return w.progress(jobB) == structs.JobCompleted })
+}
+
+// Guards against a store outage that ends all work: runs go on under the
+// workers' leases and the same leader takes up again.
+func TestStoreOutage(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(6, 8*time.Second, 1000))
+	w.run(time.Second)
+	w.store.down = true
+	w.run(4500 * time.Millisecond)
+	w.store.down = false
+	w.until(12*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	starts := 0
+	for _, f := range w.workers {
+		starts += f.starts
+	}
+	if starts != 6 {
+		t.Errorf("%d starts of 6 tasks", starts)
+	}
+}
+
+// Guards against a table that is never read again once the store has discarded
+// its history.
+func TestHistoryGone(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.settled()
+	w.store.version++
+	w.store.oldest = w.store.version
+	w.store.history = nil
+	w.run(2 * time.Second)
+	w.accepted(w.hosts[0], jobA, oneStep(1, 100*time.Millisecond, 1000))
+	w.until(4*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+}
+
+// Guards against tasks that serve and miss their target because of what fills
+// beside them.
+func TestHeavyPairIsSeparated(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settled()
+	for _, f := range w.workers {
+		f.tail = func(r *fakeRun) int64 {
+			if r.step.TailTarget == 0 {
+				return 0
+			}
+			for _, o := range f.runs {
+				if o.step.Image == "noisy" && r.step.Image == "web" {
+					return 500
+				}
+			}
+			return 10
+		}
+	}
+	serve := oneStep(1, time.Second, 4000)
+	serve.Steps[0].Persistent, serve.Steps[0].TailTarget, serve.Steps[0].Image = true, 100*time.Millisecond, "web"
+	w.accepted(w.hosts[0], jobA, serve)
+	w.run(2 * time.Second)
+	fill := oneStep(1, 5*time.Second, 2000)
+	fill.Steps[0].Fills, fill.Steps[0].Image = true, "noisy"
+	w.accepted(w.hosts[0], jobB, fill)
+	w.run(3 * time.Second)
+	serving, filling := w.running(structs.TaskRef{Job: jobA}), w.running(structs.TaskRef{Job: jobB})
+	if serving == nil || filling == nil || serving == filling {
+		t.Errorf("serving on %v, filling on %v", serving, filling)
+	}
+}
+
+// Guards against a configuration that reverts, and against requests that are
+// handled as an older one allows.
+func TestConfigurationNeverReverts(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settled()
+	w.store.set(TableOperator, KeyConfiguration, ConfigurationRow{structs.QueueConfiguration{Number: 9}})
+	w.run(100 * time.Millisecond)
+	w.store.set(TableOperator, KeyConfiguration, ConfigurationRow{structs.QueueConfiguration{Number: 5, Queues: []structs.Queue{{Name: queueName, Host: "h", PathPrefix: "/q/"}}}})
+	w.run(100 * time.Millisecond)
+	req := w.ask(w.hosts[0], RequestState, "/q/")
+	w.run(100 * time.Millisecond)
+	if w.answers[req].Status != AnswerNotFound {
+		t.Errorf("answer %+v", w.answers[req])
+	}
+}
--- /dev/null
+++ b/core/scheduler/store_test.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// fakeStore is the platform's store: one counter of versions, conditions,
+// ordered tables and watches.
+type fakeStore struct {
+	w       *world
+	version structs.Version
+	rows    map[Table]map[string]Row
+	history []TableRow
+	oldest  structs.Version // versions up to this one are no longer in the history
+	waiting []*fakeWatch
+
+	down    bool                        // answers nobody
+	refuse  bool                        // refuses everybody: nothing is done
+	lose    func(*fakeHost, Commit) int // what happens to a commit
+	commits int
+}
+
+// What may happen to a commit.
+const (
+	commitAnswered = iota
+	commitUnanswered
+	commitLate // performed seconds later, if its conditions still hold
+)
+
+type fakeWatch struct {
+	h    *fakeHost
+	e    WatchRows
+	done bool
+}
+
+func newFakeStore(w *world) *fakeStore {
+	return &fakeStore{w: w, rows: make(map[Table]map[string]Row), lose: func(*fakeHost, Commit) int { return commitAnswered }}
+}
+
+func (s *fakeStore) get(t Table, key string) RowValue { return s.rows[t][key].Value }
+
+// set writes a row as another program would.
+func (s *fakeStore) set(t Table, key string, v RowValue) {
+	s.version++
+	s.put(t, key, v)
+	s.notify()
+}
+
+func (s *fakeStore) put(t Table, key string, v RowValue) {
+	if s.rows[t] == nil {
+		s.rows[t] = make(map[string]Row)
+	}
+	r := Row{Key: key, Version: s.version, Value: v, Removed: v == nil}
+	if v == nil {
+		delete(s.rows[t], key)
+	} else {
+		s.rows[t][key] = r
+	}
+	s.history = append(s.history, TableRow{t, r})
+}
+
+func (s *fakeStore) remove(t Table, key string) { s.set(t, key, nil) }
+
+func (s *fakeStore) reachable(h *fakeHost) bool { return !s.down && !h.noStore }
+
+func (s *fakeStore) storeMS() int64 { return 5_000_000 + s.w.now.Milliseconds() }
+
+func (s *fakeStore) commit(h *fakeHost, e Commit) {
+	s.commits++
+	if !s.reachable(h) {
+		h.later(e.Timeout, Committed{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+		return
+	}
+	if s.refuse {
+		h.later(storeDelay, Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		return
+	}
+	switch s.lose(h, e) {
+	case commitUnanswered:
+		s.w.after(storeDelay, func() { s.perform(e) })
+		h.later(e.Timeout, Committed{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+	case commitLate:
+		s.w.after(3*time.Second, func() { s.perform(e) })
+		h.later(e.Timeout, Committed{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+	default:
+		s.w.after(storeDelay, func() { h.later(storeDelay, s.perform(e)) })
+	}
+}
+
+// perform applies a commit if its conditions hold.
+func (s *fakeStore) perform(e Commit) Committed {
+	result := Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone, StoreMS: s.storeMS()}
+	for _, c := range e.Conditions {
+		if s.rows[c.Table][c.Key].Version != c.Version {
+			for _, c := range e.Conditions {
+				row, ok := s.rows[c.Table][c.Key]
+				if !ok {
+					row = Row{Key: c.Key, Removed: true}
+				}
+				result.Conflicts = append(result.Conflicts, TableRow{c.Table, row})
+			}
+			return result
+		}
+	}
+	s.version++
+	for _, w := range e.Writes {
+		s.put(w.Table, w.Key, w.Value)
+	}
+	s.notify()
+	result.Outcome, result.Version = structs.OutcomeDone, s.version
+	return result
+}
+
+func (s *fakeStore) read(h *fakeHost, e ReadRows) {
+	if !s.reachable(h) {
+		h.later(e.Timeout, RowsRead{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+		return
+	}
+	s.w.after(storeDelay, func() {
+		r := RowsRead{Effect: e.ID, Outcome: structs.OutcomeDone, Version: s.version, StoreMS: s.storeMS()}
+		for key, row := range s.rows[e.Table] {
+			if key >= e.From && (e.To == "" || key < e.To) {
+				r.Rows = append(r.Rows, row)
+			}
+		}
+		slices.SortFunc(r.Rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+		if e.Limit > 0 && len(r.Rows) > e.Limit {
+			r.Rows, r.More = r.Rows[:e.Limit], true
+		}
+		h.later(0, r)
+	})
+}
+
+func (s *fakeStore) watch(h *fakeHost, e WatchRows) {
+	if !s.reachable(h) {
+		h.later(e.Timeout, RowsRead{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+		return
+	}
+	w := &fakeWatch{h: h, e: e}
+	s.waiting = append(s.waiting, w)
+	s.w.after(e.Wait, func() { s.answer(w, nil) })
+	s.notify()
+}
+
+// notify answers the watches that have something to see.
+func (s *fakeStore) notify() {
+	for _, w := range s.waiting {
+		if w.done {
+			continue
+		}
+		if w.e.After < s.oldest {
+			w.done = true
+			w.h.later(storeDelay, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeNotDone, Expired: true})
+			continue
+		}
+		var rows []Row
+		for _, c := range s.history {
+			if c.Table == w.e.Table && c.Row.Version > w.e.After {
+				rows = append(rows, c.Row)
+			}
+		}
+		if len(rows) > 0 {
+			s.answer(w, rows)
+		}
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *fakeWatch) bool { return w.done })
+}
+
+func (s *fakeStore) answer(w *fakeWatch, rows []Row) {
+	if w.done {
+		return
+	}
+	w.done = true
+	if !s.reachable(w.h) {
+		w.h.later(watchSlack, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeUnknown})
+		return
+	}
+	w.h.later(storeDelay, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeDone, Rows: rows, Version: s.version, StoreMS: s.storeMS()})
+}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// leaseLength is the longest lease that is asked for. It outlasts the change
+	// to a new leader, and a worker that is lost for good holds its tasks no longer than that.
+	leaseLength = 6 * time.Second
 	// slowestClock is the rate of the slowest clock that a worker may have.
 	slowestClock = 0.98
 	// lapseSlack covers delays between the end of a lease and the end of the
@@ -66,6 +69,7 @@
 	acked uint64 // highest end that is durable
 	marks []endMark
 
+	leavesAt    Instant // of a draining worker: not before then
 	pausedUntil Instant
 	streak      int
 	streakJobs  []structs.JobID
@@ -111,7 +115,8 @@
 func (l *leaderState) entry(id structs.WorkerID, e structs.WorkerEntry) {
 	w := l.addWorker(id)
 	if e.Draining && !w.entry.Draining {
-		l.s.decide(Decision{Part: "worker", Action: "drains", Subject: string(id)})
+		l.s.decide(Decision{Part: "worker", Action: "drains", Subject: string(id), Age: e.Leaves})
+		w.leavesAt = l.s.now + e.Leaves
 	}
 	if !w.listed {
 		l.s.decide(Decision{Part: "worker", Action: "listed", Subject: string(id), Where: e.Address})
@@ -141,7 +146,7 @@
 // leaseBound returns the longest real time for which a lease granted now, and
 // the runs under it, can last.
 func leaseBound(b Bounds) time.Duration {
-	return time.Duration(float64(b.MaxLease)/slowestClock) + b.StopTimeout + lapseSlack
+	return time.Duration(float64(min(b.MaxLease, leaseLength))/slowestClock) + b.StopTimeout + lapseSlack
 }
 
 // clockNow returns a lower estimate of the worker's clock.
@@ -151,7 +156,7 @@
 
 // leaseEnd returns the end of a lease granted now, on the worker's clock.
 func (w *worker) leaseEnd(now Instant, b Bounds) int64 {
-	return w.clockNow(now) + b.MaxLease.Milliseconds()
+	return w.clockNow(now) + min(b.MaxLease, leaseLength).Milliseconds()
 }
 
 // promise records a lease end that has been sent: the worker may run until then
@@ -225,7 +230,9 @@
 		return
 	}
 	e := HoldWorker{Order: l.orderTo(w), Seen: w.acked}
-	if w.synced {
+	// A worker that does not answer gets no more lease: else the time after which
+	// its runs are certainly over would move on with each look.
+	if w.synced && w.failures == 0 {
 		e.LeaseEndMS = w.leaseEnd(l.s.now, l.s.bounds)
 		w.promise(e.LeaseEndMS)
 		e.Wait = w.lookWait()
@@ -296,6 +303,7 @@
 	}
 	w.controlPace()
 	w.checkStalls()
+	w.evacuate()
 	l.schedule.request()
 	w.lookAgain()
 }
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -160,6 +160,7 @@
 	Labels   []string      // kind and rack
 	Born     int64         // Unix milliseconds of its start; differs between lives under one id
 	Cold     time.Duration // how much longer the worker is slow after its start
+	Leaves   time.Duration // of a draining worker: the least time that is left
 }
 
 // RunEnd tells how a run ended.
