scheduler: an image alone beside a missed target is blamed; serving tasks of one image go together

Cause: once an image counted as light beside a serving one it was never suspected again, so heavy pairs that were first seen while the load was low stayed; and workers that serve many images admit few filling ones. Change: a lone suspect is blamed even if it counts as light; the weight of a common image rises to 1. Lint and tests cover the new modules.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project. Each needs only Go, make and git.
 
-MODULES := core api entry cli standin
+MODULES := core api entry cli internal platform standin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 FUZZ_CHECKS ?= 2000
 SOAK_SECONDS ?= 600
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -13,7 +13,7 @@
 	// Weights of a score, beside the share of idle processors.
 	tailWeight    = 0.2  // of the worst tail as a share of its target
 	unknownWeight = 0.15 // of each serving image whose disturbance by the task's image is not known
-	imageWeight   = 0.3  // of the share of serving tasks here that have the task's own image
+	imageWeight   = 1.0  // of the share of serving tasks here that have the task's own image
 )
 
 // filter reports whether a task may be started on a worker.
--- a/core/scheduler/pressure.go
+++ b/core/scheduler/pressure.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // pressures holds what was learned about how tasks that fill disturb tasks that
 // serve. It differs by pair of images: most pairs hardly matter, some raise
@@ -98,10 +101,11 @@
 func (w *worker) blame(s *run) {
 	l := w.l
 	suspects := w.fillingImages(blameAge)
-	for image := range suspects {
-		if l.pressures.of(s.step.Image, image) == pressureLight {
-			delete(suspects, image)
-		}
+	// An image alone beside the task is to blame even if it looked light before.
+	if len(suspects) > 1 {
+		maps.DeleteFunc(suspects, func(image string, _ bool) bool {
+			return l.pressures.of(s.step.Image, image) == pressureLight
+		})
 	}
 	for image := range suspects {
 		l.pressures.pair(s.step.Image, image).missed += 1 / float64(len(suspects))
--- a/core/scheduler/store_test.go
+++ b/core/scheduler/store_test.go
@@ -63,8 +63,6 @@
 	s.history = append(s.history, TableRow{t, r})
 }
 
-func (s *fakeStore) remove(t Table, key string) { s.set(t, key, nil) }
-
 func (s *fakeStore) reachable(h *fakeHost) bool { return !s.down && !h.noStore }
 
 func (s *fakeStore) storeMS() int64 { return 5_000_000 + s.w.now.Milliseconds() }
