--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -24,6 +24,8 @@
 	tasks []task
 	left  [][]int // tasks that are not done, by occurrence and step
 	open  int     // tasks that are not done
+	runs  int     // that occupy workers
+	ended Instant // when the last run ended
 
 	stored  structs.JobState // as the store has it
 	finalAt Instant
@@ -83,13 +85,23 @@
 	return &j.tasks[n]
 }
 
+// starveAfter is how long a job may have nothing running while only tasks that
+// serve keep its tasks from starting.
+const starveAfter = 2 * time.Second
+
+// starves reports whether the job has had nothing running for long.
+func (j *job) starves(now Instant) bool {
+	return j.runs == 0 && now-max(j.known, j.ended) > starveAfter
+}
+
 // active reports whether tasks of the job may be started.
 func (j *job) active() bool { return j.taken && !j.cancelled && !j.State.Final() }
 
 // snapshot returns the durable part. The slices and maps are copies, because
 // the effect outlives later changes.
-func (j *job) snapshot() structs.Progress {
-	p := j.Progress
+func (j *job) snapshot() structs.Progress { return cloneProgress(j.Progress) }
+
+func cloneProgress(p structs.Progress) structs.Progress {
 	p.Done = slices.Clone(p.Done)
 	p.Failures = cloneMap(p.Failures)
 	p.Checkpoints = cloneMap(p.Checkpoints)
@@ -107,9 +119,10 @@
 	return out
 }
 
-// restore takes in progress that a former leader stored.
+// restore takes in progress that a former leader stored. The event that brought
+// it stays as it is.
 func (j *job) restore(p structs.Progress) {
-	j.Progress = p
+	j.Progress = cloneProgress(p)
 	j.stored = p.State
 	j.begun = p.State != structs.JobQueued
 	for k := range j.left {
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -27,7 +27,7 @@
 	if step.Label != "" && !slices.Contains(w.entry.Labels, step.Label) {
 		return false
 	}
-	return !step.Fills || w.takesFill(step)
+	return !step.Fills || w.takesFill(step) || j.starves(l.s.now) && w.takesStarved()
 }
 
 // usable reports whether anything may be started on the worker now.
@@ -75,6 +75,12 @@
 	return true
 }
 
+// takesStarved reports whether a task that fills may run here for a while
+// although it may disturb: nothing is disturbed now, and nothing else fills.
+func (w *worker) takesStarved() bool {
+	return w.worstTail() < calmRatio && !w.shared()
+}
+
 // unknownPressures counts the serving tasks here of which it is not known
 // whether an image disturbs them.
 func (w *worker) unknownPressures(image string) float64 {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -176,6 +176,7 @@
 func (w *worker) add(r *run) {
 	w.runs[r.key()] = r
 	w.taken = w.taken.Add(occupies(r.step))
+	r.job.runs++
 }
 
 func (w *worker) remove(r *run) {
@@ -184,6 +185,8 @@
 	}
 	delete(w.runs, r.key())
 	w.taken = w.taken.Sub(occupies(r.step))
+	r.job.runs--
+	r.job.ended = w.l.s.now
 }
 
 // sortedRuns returns the runs in a fixed order.
@@ -229,7 +232,12 @@
 		w.lookIn(holdRetry)
 		return
 	}
-	e := HoldWorker{Order: l.orderTo(w), Seen: w.acked}
+	e := HoldWorker{Order: l.orderTo(w)}
+	// A start without an answer may have reached the next life of the worker,
+	// whose ends are numbered anew: an acknowledgement could swallow them unread.
+	if !w.awaitsAnswer() {
+		e.Seen = w.acked
+	}
 	// A worker that does not answer gets no more lease: else the time after which
 	// its runs are certainly over would move on with each look.
 	if w.synced && w.failures == 0 {
@@ -261,6 +269,16 @@
 	return holdWait
 }
 
+// awaitsAnswer reports whether a start on the worker has had no answer.
+func (w *worker) awaitsAnswer() bool {
+	for _, r := range w.runs {
+		if r.confirmed == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // waitsForEnds reports whether a look should wait for an end: a task that ends
 // by itself runs here.
 func (w *worker) waitsForEnds() bool {
@@ -278,6 +296,10 @@
 		w.lookFailed(h)
 		return
 	}
+	if h.Born != 0 && h.Born < w.born {
+		w.lookIn(holdRetry) // a delayed answer of an earlier life
+		return
+	}
 	w.failures = 0
 	w.confirmed, w.heldAt = sent, l.s.now
 	if w.born != 0 && h.Born != 0 && h.Born != w.born {
@@ -441,10 +463,16 @@
 }
 
 // reborn handles a new life under the same ID: nothing of the old one is left.
+// Starts without an answer may have reached the new life, and stay until it is
+// known what became of them.
 func (w *worker) reborn(born int64) {
 	l := w.l
 	l.s.decide(Decision{Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(born)})
-	w.loseRuns("the worker started again")
+	for _, r := range w.sortedRuns() {
+		if r.confirmed > 0 {
+			l.lost(r, "the worker started again")
+		}
+	}
 	w.born, w.synced, w.seen, w.acked, w.marks = born, false, 0, 0, nil
 	w.promised, w.clockMS = 0, 0
 	w.l.account(w.id)
