scheduler: learned pressures outlive the leader; callers are refused at once while the store is away

Cause: each new leader learned anew which images disturb which, for seconds, at the cost of the tasks that serve; and callers waited out their time on a silent store, because a refusal needed three failures within 0.3 s of each other. Change: row control/pressures, written every 2 s with the leader's commits; two failures in a row refuse at once until a look at the lease succeeds. Tests: TestPressuresOutliveLeader, TestStoreAwayRefusesAtOnce.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -15,6 +15,8 @@
 	commitRows = 80
 	// pendingEvery spaces writes of the lengths of queues.
 	pendingEvery = 400 * time.Millisecond
+	// pressuresEvery spaces writes of the learned pressures.
+	pressuresEvery = 2 * time.Second
 )
 
 // commitState chains the leader's commits. One commit is in flight at a time;
@@ -77,6 +79,10 @@
 	if w, due := l.pendingWrite(); due {
 		writes = append(writes, w)
 	}
+	if l.isLoaded() && len(l.pressures) > 0 && l.s.now-l.pressuresAt >= pressuresEvery {
+		l.pressuresAt = l.s.now
+		writes = append(writes, Write{TableControl, KeyPressures, l.pressures.entries()})
+	}
 	var used UsedRow
 	if c.usedChanged && l.isLoaded() {
 		c.usedChanged = false
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -42,6 +42,8 @@
 	schedule  scheduleState
 	pending   map[string]int // queue lengths as last written
 	pendingAt Instant
+	// pressuresAt is when the learned pressures were last written.
+	pressuresAt Instant
 }
 
 func newLeader(s *State, epoch structs.Epoch, version structs.Version, sent Instant, storeMS int64) {
@@ -49,7 +51,7 @@
 		s: s, epoch: epoch, version: version, took: s.now, validUntil: sent + leadLease, storeMS: storeMS, storeAt: s.now,
 		loading: map[Table]bool{TableJobs: true, TableProgress: true, TableCancels: true, TableWorkers: true},
 		jobs:    make(map[structs.JobID]*job), workers: make(map[structs.WorkerID]*worker),
-		early: make(map[structs.JobID]structs.Progress), unaccounted: make(map[structs.WorkerID]bool), pressures: make(pressures),
+		early: make(map[structs.JobID]structs.Progress), unaccounted: make(map[structs.WorkerID]bool), pressures: restorePressures(s.lead.pressures),
 	}
 	l.commits.init(version)
 	s.leader = l
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -30,6 +30,7 @@
 	lease         LeaseRow
 	leaseVersion  structs.Version
 	used          UsedRow
+	pressures     PressuresRow
 	busy          bool // a takeover is under way
 }
 
@@ -61,6 +62,8 @@
 			}
 		case UsedRow:
 			l.used = v
+		case PressuresRow:
+			l.pressures = v
 		}
 	}
 	if s.leader != nil && l.leader.Instance != s.self.Instance {
--- a/core/scheduler/pressure.go
+++ b/core/scheduler/pressure.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -62,6 +64,27 @@
 	return p[key]
 }
 
+// entries returns what was learned, in a fixed order.
+func (p pressures) entries() PressuresRow {
+	var row PressuresRow
+	for key, pair := range p {
+		row.Pairs = append(row.Pairs, PressureEntry{key.serving, key.filling, pair.missed, pair.calm})
+	}
+	slices.SortFunc(row.Pairs, func(a, b PressureEntry) int {
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
+	})
+	return row
+}
+
+// restorePressures takes in what former leaders learned.
+func restorePressures(row PressuresRow) pressures {
+	p := make(pressures, len(row.Pairs))
+	for _, e := range row.Pairs {
+		p[imagePair{e.Serving, e.Filling}] = &pairPressure{missed: e.Missed, calm: e.Calm}
+	}
+	return p
+}
+
 // learnPressure takes in a look at a worker: calm tails speak for the images
 // beside them, missed targets against those not known to be light. Tasks whose
 // image is found to be heavy are moved.
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -124,7 +124,7 @@
 		s.answer(r, Answer{Status: AnswerInvalid, Reason: fault})
 		return
 	}
-	if s.store.refuseNow(s.now) {
+	if s.store.refuseNow() {
 		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: comeBack})
 		return
 	}
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -21,6 +21,7 @@
 	KeyConfiguration = "config"
 	KeyLeader        = "leader"
 	KeyLease         = "lease"
+	KeyPressures     = "pressures"
 	KeyWorkers       = "workers"
 	KeyPending       = "pending"
 )
@@ -62,6 +63,20 @@
 	Workers map[structs.WorkerID]string `json:"workers"`
 }
 
+// PressuresRow holds what leaders learned about pairs of images, so that a new
+// leader does not learn it again at the cost of the tasks that serve.
+type PressuresRow struct {
+	Pairs []PressureEntry `json:"pairs"`
+}
+
+// PressureEntry is what was learned about one pair.
+type PressureEntry struct {
+	Serving string  `json:"serving"`
+	Filling string  `json:"filling"`
+	Missed  float64 `json:"missed"`
+	Calm    float64 `json:"calm"`
+}
+
 // PendingRow holds, by queue, the number of accepted jobs that have not begun.
 type PendingRow struct {
 	Jobs map[string]int `json:"jobs"`
@@ -79,6 +94,7 @@
 func (LeaderRow) isRowValue()        {}
 func (LeaseRow) isRowValue()         {}
 func (UsedRow) isRowValue()          {}
+func (PressuresRow) isRowValue()     {}
 func (PendingRow) isRowValue()       {}
 func (ConfigurationRow) isRowValue() {}
 func (WorkerRow) isRowValue()        {}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -193,6 +193,22 @@
 	}
 }
 
+// Guards against callers that wait for a store that is known to be away.
+func TestStoreAwayRefusesAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settled()
+	w.store.down = true
+	w.run(5 * time.Second)
+	req := w.submit(w.hosts[0], jobA, oneStep(1, time.Second, 1000))
+	w.run(10 * time.Millisecond)
+	if a := w.answers[req]; a.Status != AnswerNotRun {
+		t.Errorf("answer %+v", a)
+	}
+	w.store.down = false
+	w.run(3 * time.Second)
+	w.accepted(w.hosts[0], jobB, oneStep(1, time.Second, 1000))
+}
+
 // Guards against a job that fails although its worker is at fault: the task
 // goes to another worker, and the failing one gets no more work.
 func TestFailingWorkerIsAvoided(t *testing.T) {
@@ -368,6 +384,22 @@
 	}
 }
 
+// Guards against a new leader that learns again what presses on what, at the
+// cost of the tasks that serve.
+func TestPressuresOutliveLeader(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.settled()
+	pair := &pairPressure{missed: 2, calm: 1}
+	w.leader().state.leader.pressures[imagePair{"web", "noisy"}] = pair
+	w.run(pressuresEvery + time.Second)
+	w.leader().kill()
+	w.run(5 * time.Second)
+	w.settled()
+	if got := w.leader().state.leader.pressures.of("web", "noisy"); got != pressureHeavy {
+		t.Errorf("level %d at the new leader", got)
+	}
+}
+
 // Guards against a job that never runs again because each worker serves images
 // that it disturbs: it gets short turns while tails are calm.
 func TestHeavyTaskDoesNotStarve(t *testing.T) {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -2,7 +2,8 @@
 
 import (
 	"container/heap"
-	"math/rand/v2"
+	"encoding/binary"
+	"hash/fnv"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 	bounds Bounds
 	now    Instant
 	wall   int64
-	random *rand.Rand
+	draws  uint64 // random numbers drawn so far
 
 	effects    []Effect
 	nextEffect EffectID
@@ -82,7 +83,6 @@
 
 func (s *State) start(b Started) {
 	s.self, s.bounds = b, b.Bounds
-	s.random = rand.New(rand.NewPCG(b.Seed, b.Seed))
 	s.decide(Decision{Part: "host", Action: "started", Subject: b.Host, Where: string(b.Instance)})
 	s.watchTable(TableOperator, s.configRows, nil)
 	s.lead.poll(s)
@@ -142,9 +142,16 @@
 }
 
 // jittered returns a duration between three quarters and five quarters of d, so
-// that hosts that started together don't stay in step.
+// that hosts that started together don't stay in step. It follows from the
+// seed of the process and the number of earlier draws.
 func (s *State) jittered(d time.Duration) time.Duration {
-	return d*3/4 + time.Duration(s.random.Int64N(int64(d)/2))
+	var draw [16]byte
+	s.draws++
+	binary.LittleEndian.PutUint64(draw[:], s.self.Seed)
+	binary.LittleEndian.PutUint64(draw[8:], s.draws)
+	h := fnv.New64a()
+	h.Write(draw[:])
+	return d*3/4 + time.Duration(h.Sum64()%uint64(d/2))
 }
 
 func (s *State) fireTimers() {
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -13,6 +13,8 @@
 	commitTimeout = 1200 * time.Millisecond
 	// storeGrace is how long failures may last before the store counts as away.
 	storeGrace = 2 * time.Second
+	// refuseAfter failures in a row mean that callers are refused without a try.
+	refuseAfter = 2
 	// storeRetry spaces repeats of a call that failed.
 	storeRetry = 150 * time.Millisecond
 	// watchWait is the longest wait of one watch. A watch on a connection that
@@ -27,7 +29,6 @@
 	lastOK    Instant
 	failing   bool
 	failedAt  Instant // first failure since lastOK
-	lastFail  Instant
 	okSince   Instant // first success since the last failure
 	anyOK     bool
 	failCount int // since lastOK
@@ -47,7 +48,7 @@
 		h.failedAt = s.now
 		s.decide(Decision{Part: "store", Action: "store call failed", Subject: s.self.Host, Reason: outcomeName(outcome)})
 	}
-	h.failing, h.lastFail = true, s.now
+	h.failing = true
 	h.failCount++
 }
 
@@ -56,10 +57,9 @@
 	return h.anyOK && (!h.failing || now-h.failedAt < storeGrace)
 }
 
-// refuseNow reports whether a call is pointless: calls keep failing.
-func (h *storeHealth) refuseNow(now Instant) bool {
-	return h.failing && h.failCount >= 3 && now-h.lastFail < 2*storeRetry
-}
+// refuseNow reports whether a call for a caller is pointless: calls keep
+// failing. The looks at the lease go on and notice when the store is back.
+func (h *storeHealth) refuseNow() bool { return h.failing && h.failCount >= refuseAfter }
 
 func outcomeName(o structs.Outcome) string {
 	switch o {
