scheduler: hand-ins are spread over sixteen partitions of the store

Change: a hand-in writes only its jobs row, in a partition by the job's ID; a job without a progress row is queued.

--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -32,10 +32,12 @@
 	Timeout    time.Duration
 }
 
-// ReadRows reads the rows of a table from key From until before key To.
+// ReadRows reads the rows of one partition of a table from key From until
+// before key To.
 type ReadRows struct {
 	ID       EffectID
 	Table    Table
+	Part     Partition
 	From, To string // empty: no bound
 	Limit    int    // 0: the store's own limit
 	Timeout  time.Duration
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -135,10 +135,7 @@
 	key := string(job.ID)
 	s.commit(Commit{
 		Conditions: []Condition{{TableJobs, key, 0}},
-		Writes: []Write{
-			{TableJobs, key, JobRow{job}},
-			{TableProgress, key, ProgressRow{structs.Progress{State: structs.JobQueued}}},
-		},
+		Writes:     []Write{{TableJobs, key, JobRow{job}}},
 	}, func(c Committed) { s.submitted(r, job, c) })
 }
 
@@ -172,40 +169,63 @@
 	})
 }
 
-func (s *State) readProgress(job structs.JobID, done func(RowsRead)) {
-	s.read(ReadRows{Table: TableProgress, From: string(job), To: string(job) + "\x00", Limit: 1}, done)
+// readRow reads one row.
+func (s *State) readRow(t Table, key string, done func(RowsRead)) {
+	s.read(ReadRows{Table: t, Part: PartitionOf(t, key), From: key, To: key + "\x00", Limit: 1}, done)
 }
 
-func (s *State) readState(r *request) {
-	s.readProgress(r.job, func(got RowsRead) {
+// findState reads the state of a job. A job that no leader has written of yet is
+// queued. Found is called with an empty state when there is no such job.
+func (s *State) findState(r *request, again func(), found func(structs.JobState)) {
+	s.readRow(TableProgress, string(r.job), func(got RowsRead) {
+		if got.Outcome != structs.OutcomeDone {
+			s.retry(r, again)
+			return
+		}
+		if len(got.Rows) == 0 {
+			s.findQueued(r, again, found)
+			return
+		}
+		p, ok := got.Rows[0].Value.(ProgressRow)
+		if !ok {
+			s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job's state cannot be read"})
+			return
+		}
+		found(p.State)
+	})
+}
+
+func (s *State) findQueued(r *request, again func(), found func(structs.JobState)) {
+	s.readRow(TableJobs, string(r.job), func(got RowsRead) {
 		switch {
 		case got.Outcome != structs.OutcomeDone:
-			s.retry(r, func() { s.readState(r) })
+			s.retry(r, again)
 		case len(got.Rows) == 0:
-			s.answer(r, Answer{Status: AnswerGone, Reason: "no such job"})
+			found("")
 		default:
-			p, ok := got.Rows[0].Value.(ProgressRow)
-			if !ok {
-				s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job's state cannot be read"})
-				return
-			}
-			s.answer(r, Answer{Status: AnswerOK, State: p.State})
+			found(structs.JobQueued)
 		}
 	})
 }
 
+func (s *State) readState(r *request) {
+	s.findState(r, func() { s.readState(r) }, func(state structs.JobState) {
+		if state == "" {
+			s.answer(r, Answer{Status: AnswerGone, Reason: "no such job"})
+			return
+		}
+		s.answer(r, Answer{Status: AnswerOK, State: state})
+	})
+}
+
 func (s *State) cancelJob(r *request) {
-	s.readProgress(r.job, func(got RowsRead) {
+	s.findState(r, func() { s.cancelJob(r) }, func(state structs.JobState) {
 		switch {
-		case got.Outcome != structs.OutcomeDone:
-			s.retry(r, func() { s.cancelJob(r) })
-		case len(got.Rows) == 0:
+		case state == "":
 			s.answer(r, Answer{Status: AnswerGone, Reason: "no such job"})
+		case state.Final():
+			s.answer(r, Answer{Status: AnswerOK})
 		default:
-			if p, ok := got.Rows[0].Value.(ProgressRow); ok && p.State.Final() {
-				s.answer(r, Answer{Status: AnswerOK})
-				return
-			}
 			s.writeCancel(r)
 		}
 	})
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -16,6 +16,32 @@
 	TableQueues                    // lengths of the queues
 )
 
+// Partition numbers a partition of a table. The store performs the transactions
+// of one partition one after another, and all rows of a transaction share one.
+type Partition int
+
+// jobPartitions is the number of partitions of TableJobs: hand-ins run beside
+// each other and beside the leader's commits when the store is slow. All other
+// tables have partition 0 only, since the leader writes them together.
+const jobPartitions = 16
+
+// PartitionOf returns the partition of a row. Jobs are spread by the last digit
+// of their ID, which callers draw at random.
+func PartitionOf(t Table, key string) Partition {
+	if t != TableJobs || key == "" {
+		return 0
+	}
+	return Partition(key[len(key)-1]) % jobPartitions
+}
+
+// partitions returns how many partitions a table has.
+func (t Table) partitions() Partition {
+	if t == TableJobs {
+		return jobPartitions
+	}
+	return 1
+}
+
 // Keys of single rows.
 const (
 	KeyConfiguration = "config"
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -113,7 +113,7 @@
 func (s *State) watchTable(t Table, rows func([]Row, bool), loaded func()) {
 	w := &watch{table: t, rows: rows, loaded: loaded, active: true}
 	s.watches[t] = w
-	w.load(s, "")
+	w.load(s, 0, "")
 }
 
 func (s *State) stopWatch(t Table) {
@@ -123,28 +123,32 @@
 	}
 }
 
-func (w *watch) load(s *State, from string) {
+// load reads the table from a key of a partition on.
+func (w *watch) load(s *State, part Partition, from string) {
 	if !w.active {
 		return
 	}
-	s.read(ReadRows{Table: w.table, From: from}, func(r RowsRead) {
+	s.read(ReadRows{Table: w.table, Part: part, From: from}, func(r RowsRead) {
 		if !w.active {
 			return
 		}
 		if r.Outcome != structs.OutcomeDone {
-			s.after(s.jittered(storeRetry), func() { w.load(s, from) })
+			s.after(s.jittered(storeRetry), func() { w.load(s, part, from) })
 			return
 		}
-		if from == "" {
+		if part == 0 && from == "" {
 			w.snapshot, w.first = nil, r.Version
 		}
 		w.snapshot = append(w.snapshot, r.Rows...)
-		if r.More && len(r.Rows) > 0 {
+		switch {
+		case r.More && len(r.Rows) > 0:
 			// The next page begins right after the last key of this one.
-			w.load(s, r.Rows[len(r.Rows)-1].Key+"\x00")
-			return
+			w.load(s, part, r.Rows[len(r.Rows)-1].Key+"\x00")
+		case part+1 < w.table.partitions():
+			w.load(s, part+1, "")
+		default:
+			w.loadDone(s)
 		}
-		w.loadDone(s)
 	})
 }
 
@@ -176,7 +180,7 @@
 	case r.Expired:
 		s.store.observe(s, structs.OutcomeDone)
 		s.decide(Decision{Part: "store", Action: "history gone, reading the table again", Subject: w.table.String(), Number: uint64(w.after)})
-		w.load(s, "")
+		w.load(s, 0, "")
 	case r.Outcome != structs.OutcomeDone:
 		s.store.observe(s, r.Outcome)
 		s.after(s.jittered(storeRetry), func() { w.wait(s) })
--- a/core/scheduler/store_test.go
+++ b/core/scheduler/store_test.go
@@ -89,9 +89,24 @@
 	}
 }
 
+// checkPartition fails the test when the rows of a commit don't share a partition.
+func (s *fakeStore) checkPartition(e Commit) {
+	parts := make(map[Partition]bool)
+	for _, c := range e.Conditions {
+		parts[PartitionOf(c.Table, c.Key)] = true
+	}
+	for _, w := range e.Writes {
+		parts[PartitionOf(w.Table, w.Key)] = true
+	}
+	if len(parts) > 1 {
+		s.w.t.Fatalf("a commit of %d partitions", len(parts))
+	}
+}
+
 // perform applies a commit if its conditions hold.
 func (s *fakeStore) perform(e Commit) Committed {
 	result := Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone, StoreMS: s.storeMS()}
+	s.checkPartition(e)
 	for _, c := range e.Conditions {
 		if s.rows[c.Table][c.Key].Version != c.Version {
 			for _, c := range e.Conditions {
@@ -121,7 +136,7 @@
 	s.w.after(storeDelay, func() {
 		r := RowsRead{Effect: e.ID, Outcome: structs.OutcomeDone, Version: s.version, StoreMS: s.storeMS()}
 		for key, row := range s.rows[e.Table] {
-			if key >= e.From && (e.To == "" || key < e.To) {
+			if PartitionOf(e.Table, key) == e.Part && key >= e.From && (e.To == "" || key < e.To) {
 				r.Rows = append(r.Rows, row)
 			}
 		}
