--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,10 @@
 	go test ./core/control -count=1 -run TestConfigInvariants -rapid.checks=2500 -timeout 10m
 	go test ./core/control -count=1 -run TestCallInvariants -rapid.checks=1000 -timeout 10m
 	go test ./core/control -count=1 -run TestTaskInvariants -rapid.checks=500 -timeout 10m
+	go test ./core/scheduler -count=1 -run TestSchedulerInvariants -rapid.checks=2000 -timeout 10m
 
 soak:
-	FRESH_SEEDS=1 go test ./core/control -count=1 -run 'Invariants' -rapid.checks=$(FUZZ_CHECKS) -timeout $(SOAK_SECONDS)s -v
+	FRESH_SEEDS=1 go test ./core/control ./core/scheduler -count=1 -run 'Invariants' -rapid.checks=$(FUZZ_CHECKS) -timeout $(SOAK_SECONDS)s -v
 
 # Removes one rule at a time from a copy and expects its test to fail.
 proofs:
