--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -12,7 +12,7 @@
 	// commitDelay collects changes of several events into one commit.
 	commitDelay = 25 * time.Millisecond
 	// commitRows bounds the rows of one commit below the store's limit of 100 entries.
-	commitRows = 80
+	commitRows = 70
 	// pendingEvery spaces writes of the lengths of queues.
 	pendingEvery = 400 * time.Millisecond
 	// pressuresEvery spaces writes of the learned pressures.
@@ -33,6 +33,7 @@
 	batch        uint64                 // number of the commit that will carry present changes
 	durable      uint64                 // all commits up to this one are stored
 	usedChanged  bool                   // the list of used workers has to be written
+	expired      []structs.JobID        // jobs whose row was removed, and whose other rows remain
 }
 
 func (c *commitState) init(version structs.Version) {
@@ -89,7 +90,9 @@
 		used = l.usedWorkers()
 		writes = append(writes, Write{TableControl, KeyWorkers, used})
 	}
-	l.send(change{writes: writes, jobs: ids, partial: full, used: used})
+	expired, removals := c.expiredWrites()
+	writes = append(writes, removals...)
+	l.send(change{writes: writes, jobs: ids, partial: full, used: used, expired: expired})
 }
 
 // change is the content of one commit.
@@ -98,6 +101,7 @@
 	jobs    []structs.JobID // whose progress it has
 	partial bool            // further changes wait for the next commit
 	used    UsedRow         // list of used workers; nil map: not part of it
+	expired []structs.JobID // whose last rows it removes
 }
 
 // usedWorkers returns the workers on which runs may be started or may still be.
@@ -153,6 +157,7 @@
 				c.dirty[id] = true
 			}
 			c.usedChanged = c.usedChanged || ch.used.Workers != nil
+			c.expired = append(c.expired, ch.expired...)
 			c.batch = batch // nothing of it is durable yet
 			l.after(storeRetry, l.flush)
 			return
@@ -190,6 +195,9 @@
 	if ch.used.Workers != nil {
 		l.storedUsed(ch.used)
 	}
+	for _, id := range ch.expired {
+		delete(l.jobs, id)
+	}
 	for _, id := range ch.jobs {
 		if j := l.jobs[id]; j != nil {
 			l.progressStored(j)
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -78,7 +78,6 @@
 	Spec       string
 	LeaseEndMS int64
 	Checkpoint string
-	Ticket     string
 }
 
 // StopTask stops a run, and keeps it from starting later.
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -38,12 +38,8 @@
 type Bounds struct {
 	MaxLease    time.Duration // longest lease that a worker grants
 	StopTimeout time.Duration // a worker ends a stopped run within this time
-	GangTimeout time.Duration // a member of a gang waits this long for the others
-	EarlyStart  time.Duration // an occurrence may start this much before it is due
 	KeepState   time.Duration // final states of jobs are kept at least this long
-	RemoteSlow  float64       // factor by which work far from its data or gang takes longer
 	Grace       time.Duration // from the signal to stop until the process is killed
-	Advice      bool          // an advice service is configured
 }
 
 // TimerFired reports that the deadline from NextDeadline has passed.
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -29,6 +29,8 @@
 
 	stored  structs.JobState // as the store has it
 	finalAt Instant
+	// expiring: its rows are being removed.
+	expiring bool
 }
 
 // task is one task of a job.
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -65,6 +65,7 @@
 	s.watchTable(TableCancels, l.cancelRows, func() { l.loaded(TableCancels) })
 	s.watchTable(TableWorkers, l.workerRows, func() { l.loaded(TableWorkers) })
 	l.renewLoop()
+	l.expireLoop()
 }
 
 // readProgress reads the progress of all jobs once. Nobody else writes it
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -77,7 +77,7 @@
 }
 
 // start orders a worker to start a run.
-func (l *leaderState) start(j *job, ref structs.TaskRef, w *worker, id structs.Run, ticket string) {
+func (l *leaderState) start(j *job, ref structs.TaskRef, w *worker, id structs.Run) {
 	t := j.taskAt(ref)
 	n, _ := j.number(ref)
 	r := &run{
@@ -88,7 +88,7 @@
 	w.add(r)
 	leaseEnd := w.leaseEnd(l.s.now, l.s.bounds)
 	w.promise(leaseEnd)
-	e := StartTask{Order: l.orderTo(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint, Ticket: ticket}
+	e := StartTask{Order: l.orderTo(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
 	e.ID = l.expectOrder(func(o Ordered) { l.startAnswered(r, o) })
 	l.s.emit(e)
 	l.s.decide(Decision{Part: "task", Action: "start ordered", Subject: taskName(ref), Where: string(w.id), Number: uint64(id), Age: l.s.now - w.confirmed})
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -174,7 +174,7 @@
 			}
 			return
 		}
-		l.start(j, ref, w, t.last+1, "")
+		l.start(j, ref, w, t.last+1)
 	}
 }
 
@@ -212,6 +212,6 @@
 		ref := j.ref(k, i, index)
 		// All members resume from the same checkpoint.
 		l.keepCheckpoint(j, ref, checkpoint)
-		l.start(j, ref, w, id, "")
+		l.start(j, ref, w, id)
 	}
 }
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -425,6 +425,27 @@
 	}
 }
 
+// Guards against a store that fills up with finished jobs, and against one that
+// runs again because its state went first.
+func TestFinishedJobsExpire(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(1, 100*time.Millisecond, 1000))
+	w.until(2*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	w.run(testBounds.KeepState)
+	if w.progress(jobA) != structs.JobCompleted {
+		t.Error("the final state was not kept")
+	}
+	w.until(2*time.Minute, "removal", func() bool {
+		return w.store.get(TableJobs, jobA) == nil && w.store.get(TableProgress, jobA) == nil
+	})
+	w.leader().kill()
+	w.run(10 * time.Second)
+	if starts := w.workers["w00"].starts; starts != 1 {
+		t.Errorf("%d starts of one task", starts)
+	}
+}
+
 // Guards against a configuration that reverts, and against requests that are
 // handled as an older one allows.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -59,8 +59,8 @@
 )
 
 var testBounds = Bounds{
-	MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
-	EarlyStart: 250 * time.Millisecond, KeepState: 120 * time.Second, RemoteSlow: 3, Grace: 6 * time.Second,
+	MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond,
+	KeepState: 120 * time.Second, Grace: 6 * time.Second,
 }
 
 func newWorld(t rapid.TB, hosts, workers int) *world {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -138,28 +138,23 @@
 	Host       string
 	PathPrefix string
 	Policy     Policy
-	Advised    bool // only workers that the advice service names may run its steps
 }
 
 // QueueConfiguration is one accepted version of the queues and their services.
 type QueueConfiguration struct {
-	Number   uint64
-	Queues   []Queue
-	MaxBody  int64 // bytes of a request's body; 0: the default
-	MaxIdle  time.Duration
-	Guarding map[string]bool // services whose workers refuse what does not fit
+	Number  uint64
+	Queues  []Queue
+	MaxBody int64 // bytes of a request's body; 0: the default
 }
 
 // WorkerEntry is what the platform's list says of a worker.
 type WorkerEntry struct {
 	Service  string
 	Address  string // IP:port
-	Zone     string
 	Draining bool
 	Capacity Resources
 	Labels   []string      // kind and rack
 	Born     int64         // Unix milliseconds of its start; differs between lives under one id
-	Cold     time.Duration // how much longer the worker is slow after its start
 	Leaves   time.Duration // of a draining worker: the least time that is left
 }
 
