--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -114,6 +114,24 @@
 	w.until(20*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
 }
 
+// Guards against effects that depend on the order of a map: the same events
+// give the same decisions.
+func TestSameEventsSameDecisions(t *testing.T) {
+	play := func() []string {
+		w := newWorld(t, 3, 6)
+		w.settled()
+		for _, id := range []string{jobA, jobB, "00000000000000cc"} {
+			w.accepted(w.hosts[0], id, oneStep(12, 700*time.Millisecond, 1500))
+		}
+		w.leader().kill()
+		w.run(8 * time.Second)
+		return w.records
+	}
+	if first, second := play(), play(); !slices.Equal(first, second) {
+		t.Error("two plays differ")
+	}
+}
+
 // Guards against a leader that acts after it was suspended beyond its lease.
 func TestFrozenLeaderWakes(t *testing.T) {
 	w := newWorld(t, 3, 4)
