scheduler: a failed run counts once, also when two leaders see its end

Change: progress keeps the highest run counted for each task. Test: TestFailedRunCountsOnce fails without it.

--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -106,6 +106,7 @@
 func cloneProgress(p structs.Progress) structs.Progress {
 	p.Done = slices.Clone(p.Done)
 	p.Failures = cloneMap(p.Failures)
+	p.LastFailed = cloneMap(p.LastFailed)
 	p.Checkpoints = cloneMap(p.Checkpoints)
 	return p
 }
@@ -279,8 +280,9 @@
 	l.schedule.request()
 }
 
-// taskFailed counts a failed run.
-func (l *leaderState) taskFailed(j *job, ref structs.TaskRef, w *worker) {
+// taskFailed counts a failed run. A worker lists its end again to a new leader
+// until it is acknowledged, but it counts once.
+func (l *leaderState) taskFailed(j *job, ref structs.TaskRef, id structs.Run, w *worker) {
 	n, ok := j.number(ref)
 	if !ok || j.IsDone(n) || j.State.Final() {
 		return
@@ -294,10 +296,17 @@
 	if j.Steps[ref.Step].Persistent {
 		return
 	}
+	if id <= j.LastFailed[n] {
+		return
+	}
 	if j.Failures == nil {
 		j.Failures = make(map[int]int)
 	}
+	if j.LastFailed == nil {
+		j.LastFailed = make(map[int]structs.Run)
+	}
 	j.Failures[n]++
+	j.LastFailed[n] = id
 	l.touch(j)
 	limit := l.s.config.policyOf(&j.Job).Attempts
 	if limit > 0 && j.Failures[n] >= limit {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -258,7 +258,7 @@
 		l.runDone(j, e.Task)
 	case structs.EndFailed:
 		w.failed(j.ID)
-		l.taskFailed(j, e.Task, w)
+		l.taskFailed(j, e.Task, e.Run, w)
 	default:
 		l.keepCheckpoint(j, e.Task, e.Checkpoint)
 	}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -464,6 +464,30 @@
 	}
 }
 
+// Guards against a failed run that two leaders count: the worker lists its end
+// until it is acknowledged, and the first leader is lost between the two.
+func TestFailedRunCountsOnce(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.settled()
+	f := w.workers["w00"]
+	f.failing = true
+	killed := false
+	w.store.lose = func(h *fakeHost, e Commit) int {
+		for _, write := range e.Writes {
+			if p, ok := write.Value.(ProgressRow); ok && len(p.Failures) > 0 && !killed {
+				killed, f.failing = true, false
+				w.after(storeDelay+time.Millisecond, h.kill) // stored, and not yet acknowledged
+			}
+		}
+		return commitAnswered
+	}
+	w.accepted(w.hosts[0], jobA, oneStep(1, 300*time.Millisecond, 1000))
+	w.until(10*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	if p := w.store.get(TableProgress, jobA).(ProgressRow); !killed || p.Failures[0] != 1 {
+		t.Errorf("killed %v, failures %v", killed, p.Failures)
+	}
+}
+
 // Guards against a configuration that reverts, and against requests that are
 // handled as an older one allows.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -114,6 +114,7 @@
 	State       JobState       `json:"state"`
 	Done        []byte         `json:"done,omitempty"`        // bit per task
 	Failures    map[int]int    `json:"failures,omitempty"`    // failed runs by task
+	LastFailed  map[int]Run    `json:"last_failed,omitempty"` // highest run counted in Failures, by task
 	Checkpoints map[int]string `json:"checkpoints,omitempty"` // by task; of tasks that are not done
 }
 
