--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -106,7 +106,9 @@
 func cloneProgress(p structs.Progress) structs.Progress {
 	p.Done = slices.Clone(p.Done)
 	p.Failures = cloneMap(p.Failures)
-	p.LastFailed = cloneMap(p.LastFailed)
+	for task, runs := range p.Failures {
+		p.Failures[task] = slices.Clone(runs)
+	}
 	p.Checkpoints = cloneMap(p.Checkpoints)
 	return p
 }
@@ -281,7 +283,7 @@
 }
 
 // taskFailed counts a failed run. A worker lists its end again to a new leader
-// until it is acknowledged, but it counts once.
+// until it is acknowledged, but it counts once; ends of several workers come in any order.
 func (l *leaderState) taskFailed(j *job, ref structs.TaskRef, id structs.Run, w *worker) {
 	n, ok := j.number(ref)
 	if !ok || j.IsDone(n) || j.State.Final() {
@@ -296,20 +298,16 @@
 	if j.Steps[ref.Step].Persistent {
 		return
 	}
-	if id <= j.LastFailed[n] {
+	if slices.Contains(j.Failures[n], id) {
 		return
 	}
 	if j.Failures == nil {
-		j.Failures = make(map[int]int)
-	}
-	if j.LastFailed == nil {
-		j.LastFailed = make(map[int]structs.Run)
+		j.Failures = make(map[int][]structs.Run)
 	}
-	j.Failures[n]++
-	j.LastFailed[n] = id
+	j.Failures[n] = append(j.Failures[n], id)
 	l.touch(j)
 	limit := l.s.config.policyOf(&j.Job).Attempts
-	if limit > 0 && j.Failures[n] >= limit {
+	if limit > 0 && len(j.Failures[n]) >= limit {
 		l.finishJob(j, structs.JobFailed, "a task failed in all its attempts")
 	}
 }
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -483,11 +483,27 @@
 	}
 	w.accepted(w.hosts[0], jobA, oneStep(1, 300*time.Millisecond, 1000))
 	w.until(10*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
-	if p := w.store.get(TableProgress, jobA).(ProgressRow); !killed || p.Failures[0] != 1 {
+	if p := w.store.get(TableProgress, jobA).(ProgressRow); !killed || len(p.Failures[0]) != 1 {
 		t.Errorf("killed %v, failures %v", killed, p.Failures)
 	}
 }
 
+// Guards against failed runs of a task that are counted once in all because a
+// new leader reads their workers' lists in another order.
+func TestFailedRunsInAnyOrder(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(1, time.Hour, 1000))
+	l := w.leader().state.leader
+	j, ref := l.jobs[jobA], structs.TaskRef{Job: jobA}
+	for _, id := range []structs.Run{3, 2, 3} {
+		l.taskFailed(j, ref, id, l.workers["w00"])
+	}
+	if len(j.Failures[0]) != 2 {
+		t.Errorf("failures %v", j.Failures)
+	}
+}
+
 // Guards against a configuration that reverts, and against requests that are
 // handled as an older one allows.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -113,8 +113,7 @@
 type Progress struct {
 	State       JobState       `json:"state"`
 	Done        []byte         `json:"done,omitempty"`        // bit per task
-	Failures    map[int]int    `json:"failures,omitempty"`    // failed runs by task
-	LastFailed  map[int]Run    `json:"last_failed,omitempty"` // highest run counted in Failures, by task
+	Failures    map[int][]Run  `json:"failures,omitempty"`    // failed runs by task, each once
 	Checkpoints map[int]string `json:"checkpoints,omitempty"` // by task; of tasks that are not done
 }
 
