scheduler: a persistent task that is still starting up is not restarted

Change: a persistent task below 100% stalls when its percentage has not changed for 2.5 s, as other tasks do. The limit on the whole startup goes. Test: TestSlowStartupIsNotRestarted (4 starts before, 1 after).

--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -25,8 +25,6 @@
 	evictAfter = time.Second
 	// stallAfter is how long a run may show no progress before it is started elsewhere.
 	stallAfter = 2500 * time.Millisecond
-	// warmUp is how long a persistent task may take until it is at work.
-	warmUp = 4 * time.Second
 )
 
 // paceLevels are the shares of work, in percent, at which tasks that fill may go on.
@@ -171,8 +169,8 @@
 }
 
 func (r *run) stalled(now Instant) bool {
-	if r.step.Persistent {
-		return r.percent < fullPace && now-r.confirmed > warmUp
+	if r.step.Persistent && r.percent == fullPace {
+		return false // at work
 	}
 	return now-max(r.moved, r.confirmed) > stallAfter
 }
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -250,6 +250,25 @@
 	w.until(10*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
 }
 
+// Guards against a persistent task that takes long to start up being restarted
+// again and again, so that it never gets to work.
+func TestSlowStartupIsNotRestarted(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.settled()
+	const startup = 12 * time.Second
+	job := oneStep(1, startup, 1000)
+	job.Steps[0].Persistent = true
+	w.accepted(w.hosts[0], jobA, job)
+	w.run(startup + 2*time.Second)
+	starts := 0
+	for _, f := range w.workers {
+		starts += f.starts
+	}
+	if starts != 1 {
+		t.Fatalf("%d starts of a task that was starting up, not 1", starts)
+	}
+}
+
 // Guards against work that goes on after its job was cancelled, and against a
 // cancel that a new leader forgets.
 func TestCancel(t *testing.T) {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -401,7 +401,7 @@
 			r.phase, r.confirmed = phaseRunning, sent
 			l.begin(r.job)
 		}
-		if a.Percent != r.percent || a.Gauge != r.gauge && r.step.Persistent {
+		if a.Percent != r.percent {
 			r.moved = l.s.now
 		}
 		r.percent, r.gauge = a.Percent, a.Gauge
