scheduler: what found no place is not looked for again in a pass; pressures in a table

Cause: on a grown site the leader fell behind after a takeover (starts fell from 650 to 250 a second, looks 1 to 3 s old). Its profile at 350 workers shows placement: every waiting task that fills looked at all workers in every pass, twice for each. Change: a demand that found no place is left out for the rest of the pass, also for tasks that fill; a worker is rated once; pressures are a table by image number.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -80,9 +80,11 @@
 	if w, due := l.pendingWrite(); due {
 		writes = append(writes, w)
 	}
-	if l.isLoaded() && len(l.interference.pairs) > 0 && l.s.now-l.pressuresAt >= pressuresEvery {
+	if l.isLoaded() && l.s.now-l.pressuresAt >= pressuresEvery {
 		l.pressuresAt = l.s.now
-		writes = append(writes, Write{TableControl, KeyPressures, l.interference.row()})
+		if row := l.interference.row(); len(row.Pairs) > 0 {
+			writes = append(writes, Write{TableControl, KeyPressures, row})
+		}
 	}
 	var used UsedRow
 	if c.usedChanged && l.isLoaded() {
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -15,19 +13,20 @@
 type interference struct {
 	ids   map[string]imageID
 	names []string
-	bases []float64 // by serving image: tail in milliseconds without any load; 0: not known
-	pairs map[imagePair]*pressure
+	bases []float64    // by serving image: tail in milliseconds without any load; 0: not known
+	pairs [][]pressure // by serving and filling image
 }
 
 // imageID numbers an image in the order in which the leader met it.
 type imageID int
 
-type imagePair struct{ serving, filling imageID }
-
 // pressure is the estimate for one pair: the use of a serving task that one
 // worker's worth of processors would take, with the variance of the estimate.
 type pressure struct{ value, variance float64 }
 
+// prior is what is assumed of a pair that has not been seen.
+var prior = pressure{priorPressure, priorVariance}
+
 const (
 	// priorPressure and priorVariance describe a pair of which nothing is known:
 	// most pairs hardly matter, some take twice the share of processors.
@@ -53,12 +52,12 @@
 )
 
 func newInterference(row PressuresRow) *interference {
-	m := &interference{ids: make(map[string]imageID), pairs: make(map[imagePair]*pressure)}
+	m := &interference{ids: make(map[string]imageID)}
 	for _, b := range row.Bases {
 		m.bases[m.id(b.Image)] = b.TailMS
 	}
 	for _, e := range row.Pairs {
-		m.pairs[imagePair{m.id(e.Serving), m.id(e.Filling)}] = &pressure{e.Value, e.Variance}
+		*m.pair(m.id(e.Serving), m.id(e.Filling)) = pressure{e.Value, e.Variance}
 	}
 	return m
 }
@@ -70,12 +69,12 @@
 		id = imageID(len(m.names))
 		m.ids[name] = id
 		m.names = append(m.names, name)
-		m.bases = append(m.bases, 0)
+		m.bases, m.pairs = append(m.bases, 0), append(m.pairs, nil)
 	}
 	return id
 }
 
-// row returns what was learned, in a fixed order.
+// row returns what was learned.
 func (m *interference) row() PressuresRow {
 	var row PressuresRow
 	for id, ms := range m.bases {
@@ -83,31 +82,30 @@
 			row.Bases = append(row.Bases, BaseEntry{m.names[id], ms})
 		}
 	}
-	for key, p := range m.pairs {
-		row.Pairs = append(row.Pairs, PressureEntry{m.names[key.serving], m.names[key.filling], p.value, p.variance})
+	for serving, pairs := range m.pairs {
+		for filling, p := range pairs {
+			if p != prior {
+				row.Pairs = append(row.Pairs, PressureEntry{m.names[serving], m.names[filling], p.value, p.variance})
+			}
+		}
 	}
-	slices.SortFunc(row.Pairs, func(a, b PressureEntry) int {
-		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
-	})
 	return row
 }
 
 // of returns the pressure of a filling image on a serving one.
 func (m *interference) of(serving, filling imageID) float64 {
-	if p := m.pairs[imagePair{serving, filling}]; p != nil {
-		return p.value
+	if pairs := m.pairs[serving]; int(filling) < len(pairs) {
+		return pairs[filling].value
 	}
 	return priorPressure
 }
 
+// pair returns the estimate for a pair. The pointer is valid until the next call.
 func (m *interference) pair(serving, filling imageID) *pressure {
-	key := imagePair{serving, filling}
-	p := m.pairs[key]
-	if p == nil {
-		p = &pressure{priorPressure, priorVariance}
-		m.pairs[key] = p
+	for int(filling) >= len(m.pairs[serving]) {
+		m.pairs[serving] = append(m.pairs[serving], prior)
 	}
-	return p
+	return &m.pairs[serving][filling]
 }
 
 // useOf returns the use that a tail shows, and its variance. Base and tail are
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -18,7 +18,7 @@
 
 // filter reports whether a task may be started on a worker.
 func (l *leaderState) filter(w *worker, j *job, step *structs.Step, policy *structs.Policy) bool {
-	if !w.usable() || w.entry.Service != policy.Service {
+	if w.entry.Service != policy.Service || !w.usable() {
 		return false
 	}
 	if !occupies(step).Add(w.taken).Fits(w.entry.Capacity) {
@@ -27,7 +27,8 @@
 	if step.Label != "" && !slices.Contains(w.entry.Labels, step.Label) {
 		return false
 	}
-	return !step.Fills || w.takesFill(step) || j.starves(l.s.now) && w.takesStarved()
+	return !step.Fills || w.pace.level == fullPace && w.idleCores() >= step.Request.MilliCores ||
+		j.starves(l.s.now) && w.takesStarved()
 }
 
 // usable reports whether anything may be started on the worker now.
@@ -60,14 +61,6 @@
 	return step.Request.MilliCores
 }
 
-func (w *worker) takesFill(step *structs.Step) bool {
-	if w.pace.level != fullPace || w.idleCores() < step.Request.MilliCores {
-		return false
-	}
-	endures, _ := w.endures(w.l.interference.id(step.Image), step.Request.MilliCores)
-	return endures
-}
-
 // takesStarved reports whether a task that fills may run here for a while
 // although it may disturb: nothing is disturbed now, and nothing else fills.
 func (w *worker) takesStarved() bool {
@@ -76,13 +69,13 @@
 
 // sameImage returns the share of the serving tasks here that have an image.
 // Tasks that fill find more room where few images serve.
-func (w *worker) sameImage(image string) float64 {
+func (w *worker) sameImage(image imageID) float64 {
 	if len(w.serving) == 0 {
 		return 0
 	}
 	same := 0
 	for _, r := range w.serving {
-		if r.step.Image == image {
+		if r.image == image {
 			same++
 		}
 	}
@@ -90,23 +83,27 @@
 }
 
 // score rates a worker that passed the filter; higher is better. Load is spread,
-// and slow places are avoided.
-func (l *leaderState) score(w *worker, j *job, step *structs.Step) float64 {
+// and slow places are avoided. It returns false where a task that fills would
+// disturb tasks that serve.
+func (l *leaderState) score(w *worker, j *job, step *structs.Step, image imageID) (float64, bool) {
 	capacity := float64(max(w.entry.Capacity.MilliCores, 1))
 	var score float64
 	switch {
 	case step.Fills:
-		_, spare := w.endures(l.interference.id(step.Image), step.Request.MilliCores)
+		endures, spare := w.endures(image, step.Request.MilliCores)
+		if !endures && !(j.starves(l.s.now) && w.takesStarved()) {
+			return 0, false
+		}
 		score = float64(w.idleCores())/capacity - tailWeight*w.worstTail() + spareWeight*spare
 	case step.TailTarget > 0:
-		score = float64(w.entry.Capacity.MilliCores-w.taken.MilliCores)/capacity + imageWeight*w.sameImage(step.Image)
+		score = float64(w.entry.Capacity.MilliCores-w.taken.MilliCores)/capacity + imageWeight*w.sameImage(image)
 	default:
 		score = float64(w.entry.Capacity.MilliCores-w.taken.MilliCores) / capacity
 	}
 	if step.DataRack != "" && !slices.Contains(w.entry.Labels, step.DataRack) {
 		score -= 1
 	}
-	return score
+	return score, true
 }
 
 // pick returns the best worker for a task, or nil. A task stays away from
@@ -114,6 +111,7 @@
 func (l *leaderState) pick(j *job, ref structs.TaskRef, t *task) *worker {
 	step := &j.Steps[ref.Step]
 	policy := l.s.config.policyOf(&j.Job)
+	image := l.interference.id(step.Image)
 	var best, fallback *worker
 	var bestScore, fallbackScore float64
 	for _, id := range l.ids {
@@ -121,8 +119,9 @@
 		if !l.filter(w, j, step, policy) || !w.spread(ref, step) {
 			continue
 		}
-		score := l.score(w, j, step)
+		score, ok := l.score(w, j, step, image)
 		switch {
+		case !ok:
 		case slices.Contains(t.avoid, id):
 			if fallback == nil || score > fallbackScore {
 				fallback, fallbackScore = w, score
@@ -168,6 +167,7 @@
 func (l *leaderState) packGang(j *job, k, i int, label string) []*worker {
 	step := &j.Steps[i]
 	policy := l.s.config.policyOf(&j.Job)
+	image := l.interference.id(step.Image)
 	extra := make(map[*worker]structs.Resources)
 	count := make(map[*worker]int)
 	var places []*worker
@@ -185,7 +185,11 @@
 			if !occupies(step).Add(extra[w]).Add(w.taken).Fits(w.entry.Capacity) {
 				continue
 			}
-			score := l.score(w, j, step) - float64(extra[w].MilliCores)/float64(max(w.entry.Capacity.MilliCores, 1))
+			score, ok := l.score(w, j, step, image)
+			if !ok {
+				continue
+			}
+			score -= float64(extra[w].MilliCores) / float64(max(w.entry.Capacity.MilliCores, 1))
 			if best == nil || score > bestScore {
 				best, bestScore = w, score
 			}
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -63,7 +63,7 @@
 	jobs := slices.Clone(l.order)
 	now := l.s.now
 	slices.SortStableFunc(jobs, func(a, b *job) int { return l.compareRank(a, b, now) })
-	full := make(map[structs.Resources]bool) // requests that found no room in this pass
+	full := make(map[demand]bool) // what found no place in this pass
 	for _, j := range jobs {
 		if j.active() {
 			l.placeJob(j, full)
@@ -114,7 +114,7 @@
 }
 
 // placeJob starts the tasks of a job whose turn has come.
-func (l *leaderState) placeJob(j *job, full map[structs.Resources]bool) {
+func (l *leaderState) placeJob(j *job, full map[demand]bool) {
 	for k := range j.left {
 		if !l.due(j, k) {
 			continue
@@ -151,13 +151,13 @@
 }
 
 // placeStep starts the idle tasks of one step.
-func (l *leaderState) placeStep(j *job, k, i int, full map[structs.Resources]bool) {
+func (l *leaderState) placeStep(j *job, k, i int, full map[demand]bool) {
 	if j.Steps[i].Gang {
 		l.placeGang(j, k, i)
 		return
 	}
-	plain := j.Steps[i].Label == "" && j.Steps[i].PerWorker == 0 && !j.Steps[i].Fills
-	if plain && full[j.Steps[i].Request] {
+	wants := l.demandOf(j, i)
+	if full[wants] {
 		return
 	}
 	for index := range j.Steps[i].Count {
@@ -169,8 +169,8 @@
 		}
 		w := l.pick(j, ref, t)
 		if w == nil {
-			if plain && len(t.avoid) == 0 {
-				full[j.Steps[i].Request] = true
+			if j.Steps[i].PerWorker == 0 {
+				full[wants] = true
 			}
 			return
 		}
@@ -178,6 +178,24 @@
 	}
 }
 
+// demand is all that decides where a task finds a place, but for the limit of its
+// step on one worker.
+type demand struct {
+	request         structs.Resources
+	service, label  string
+	image           string // of a task that fills
+	fills, starving bool
+}
+
+func (l *leaderState) demandOf(j *job, step int) demand {
+	s := &j.Steps[step]
+	d := demand{request: s.Request, service: l.s.config.policyOf(&j.Job).Service, label: s.Label, fills: s.Fills}
+	if s.Fills {
+		d.image, d.starving = s.Image, j.starves(l.s.now)
+	}
+	return d
+}
+
 // startable reports whether a task may be started now.
 func (l *leaderState) startable(j *job, t *task) bool {
 	if j.inherited && len(l.unaccounted) > 0 {
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -427,7 +427,7 @@
 	w := newWorld(t, 2, 1)
 	w.settled()
 	learned := w.leader().state.leader.interference
-	learned.pairs[imagePair{learned.id("web"), learned.id("noisy")}] = &pressure{value: 2, variance: 0.01}
+	*learned.pair(learned.id("web"), learned.id("noisy")) = pressure{value: 2, variance: 0.01}
 	w.run(pressuresEvery + time.Second)
 	w.leader().kill()
 	w.run(5 * time.Second)
