scheduler: weak hosts leave the lead to strong ones; stale lengths of queues are not answered

Change: the leader's row says how many processors it and the strongest leader so far have. A host with less than half of that takes a vacant lead only after 1.25 s; a strong host asks a weak leader to release the lead. Lengths of queues carry the time of the count and are not answered when older than 3 s. A release is not undone by a commit that was under way. Tests: TestStrongHostLeads, TestStaleLengthsAreNotAnswered.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -15,6 +15,9 @@
 	commitRows = 70
 	// pendingEvery spaces writes of the lengths of queues.
 	pendingEvery = 400 * time.Millisecond
+	// pendingRefresh is when lengths that have not changed are written again, so
+	// that hosts can tell them from those of a leader that is gone.
+	pendingRefresh = time.Second
 	// pressuresEvery spaces writes of the learned pressures.
 	pressuresEvery = 2 * time.Second
 )
@@ -27,8 +30,8 @@
 	sequence     uint64
 	inFlight     bool
 	lastSent     Instant
-	armed        bool // a flush is due
-	releasing    bool
+	armed        bool                   // a flush is due
+	releasing    string                 // why the lead is being released; empty: it is not
 	dirty        map[structs.JobID]bool // jobs whose progress changed
 	batch        uint64                 // number of the commit that will carry present changes
 	durable      uint64                 // all commits up to this one are stored
@@ -129,7 +132,7 @@
 		c.batch++
 	}
 	lease := LeaseRow{Instance: l.s.self.Instance, Sequence: c.sequence, ExpiresMS: l.storeNow() + (leadLease + leadMargin).Milliseconds()}
-	if c.releasing {
+	if c.releasing != "" {
 		lease.ExpiresMS = 0
 	}
 	all := append(slices.Clone(ch.writes), Write{TableControl, KeyLease, lease})
@@ -184,13 +187,15 @@
 	return nil, 0
 }
 
-func (l *leaderState) committed(sent Instant, batch uint64, ch change, releasing bool) {
+func (l *leaderState) committed(sent Instant, batch uint64, ch change, releasing string) {
 	c := &l.commits
-	if releasing {
-		l.depose("planned stop")
+	if releasing != "" {
+		l.depose(releasing)
 		return
 	}
-	l.validUntil = max(l.validUntil, sent+leadLease)
+	if c.releasing == "" {
+		l.validUntil = max(l.validUntil, sent+leadLease)
+	}
 	if !ch.partial {
 		c.durable = batch
 	}
@@ -208,7 +213,7 @@
 	for _, id := range l.ids {
 		l.workers[id].endsDurable()
 	}
-	if len(c.dirty) > 0 || c.releasing {
+	if len(c.dirty) > 0 || c.releasing != "" {
 		l.flush()
 	}
 }
@@ -224,7 +229,7 @@
 // storeNow returns a lower bound of the store's clock.
 func (l *leaderState) storeNow() int64 { return l.storeMS + (l.s.now - l.storeAt).Milliseconds() }
 
-// pendingWrite returns the lengths of the queues if they changed.
+// pendingWrite returns the lengths of the queues if they changed or grow old.
 func (l *leaderState) pendingWrite() (Write, bool) {
 	if !l.isLoaded() || l.s.now-l.pendingAt < pendingEvery {
 		return Write{}, false
@@ -235,9 +240,9 @@
 			lengths[j.Queue]++
 		}
 	}
-	if l.pending != nil && maps.Equal(lengths, l.pending) {
+	if l.pending != nil && maps.Equal(lengths, l.pending) && l.s.now-l.pendingAt < pendingRefresh {
 		return Write{}, false
 	}
 	l.pending, l.pendingAt = lengths, l.s.now
-	return Write{TableQueues, KeyPending, PendingRow{Jobs: lengths}}, true
+	return Write{TableQueues, KeyPending, PendingRow{Jobs: lengths, AtMS: l.storeNow()}}, true
 }
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -28,10 +28,11 @@
 
 // Started is the first event of a process.
 type Started struct {
-	Host     string
-	Instance structs.InstanceID // of this process; never used twice
-	Seed     uint64             // for jitter
-	Bounds   Bounds
+	Host       string
+	Instance   structs.InstanceID // of this process; never used twice
+	Seed       uint64             // for jitter
+	Processors float64            // share of a core that the host has
+	Bounds     Bounds
 }
 
 // Bounds are the figures of the deployment that the reducer keeps to.
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -123,8 +123,11 @@
 func (l *leaderState) valid() bool { return !l.over && l.s.now < l.validUntil }
 
 // release gives the lead up so that another host can take it at once.
-func (l *leaderState) release() {
-	l.commits.releasing = true
+func (l *leaderState) release(reason string) {
+	if l.commits.releasing != "" {
+		return
+	}
+	l.commits.releasing = reason
 	l.validUntil = min(l.validUntil, l.s.now) // no further orders
 	l.flush()
 }
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -21,6 +21,13 @@
 	// leadSettle is how long a host's path to the store has to have been up before it takes
 	// an expired lease, so that a leader that shared the outage gets to renew first.
 	leadSettle = 800 * time.Millisecond
+	// weakFactor tells which hosts are weak: those with less than this share of
+	// the processors of the strongest leader. They take the lead only when no
+	// stronger host has taken it within leadYield, which is two polls.
+	weakFactor = 0.5
+	leadYield  = 1250 * time.Millisecond
+	// challengeAfter is how long a weak leader has led before a stronger host asks for the lead.
+	challengeAfter = 2 * time.Second
 )
 
 // leadership is what the host knows about who leads.
@@ -29,9 +36,12 @@
 	leaderVersion structs.Version
 	lease         LeaseRow
 	leaseVersion  structs.Version
+	challenge     ChallengeRow
 	used          UsedRow
 	pressures     PressuresRow
-	busy          bool // a takeover is under way
+	busy          bool    // a takeover is under way
+	seenAt        Instant // when the present epoch was seen first
+	releasedAt    Instant // when the lease was seen to be released; 0: it is not
 }
 
 // poll looks at the lease from time to time and takes it over when it has expired.
@@ -53,13 +63,17 @@
 			if r.Version > l.leaderVersion {
 				if v.Epoch != l.leader.Epoch {
 					s.decide(Decision{Part: "leader", Action: "leader seen", Subject: v.Host, Number: uint64(v.Epoch)})
+					l.seenAt = s.now
 				}
 				l.leader, l.leaderVersion = v, r.Version
 			}
 		case LeaseRow:
 			if r.Version > l.leaseVersion {
 				l.lease, l.leaseVersion = v, r.Version
+				since(&l.releasedAt, v.ExpiresMS == 0, s.now)
 			}
+		case ChallengeRow:
+			l.challenge = v
 		case UsedRow:
 			l.used = v
 		case PressuresRow:
@@ -69,6 +83,14 @@
 	if s.leader != nil && l.leader.Instance != s.self.Instance {
 		s.leader.depose("another host leads")
 	}
+	if s.leader != nil && l.challenge.Epoch == s.leader.epoch && s.self.Processors < weakFactor*l.challenge.Processors {
+		s.leader.release("a stronger host asks for the lead")
+	}
+}
+
+// weak reports whether a stronger host is known to have led or to ask for the lead.
+func (l *leadership) weak(s *State) bool {
+	return s.self.Processors < weakFactor*max(l.leader.Strongest, l.challenge.Processors)
 }
 
 // consider takes the lead when nobody holds it.
@@ -77,13 +99,34 @@
 		return
 	}
 	released := l.lease.ExpiresMS == 0
-	if !released && storeMS < l.lease.ExpiresMS+leadMargin.Milliseconds() {
-		return
+	vacant := time.Duration(storeMS-l.lease.ExpiresMS)*time.Millisecond - leadMargin
+	if released {
+		vacant = s.now - l.releasedAt
+	}
+	switch {
+	case vacant < 0:
+		l.askForLead(s)
+	case l.weak(s) && vacant < leadYield:
+	case !released && s.now-s.store.okSince < leadSettle:
+	default:
+		l.takeOver(s, storeMS)
 	}
-	if !released && s.now-s.store.okSince < leadSettle {
+}
+
+// askForLead asks a weak leader to release the lead.
+func (l *leadership) askForLead(s *State) {
+	if l.leader.Processors >= weakFactor*s.self.Processors || l.challenge.Epoch == l.leader.Epoch || s.now-l.seenAt < challengeAfter {
 		return
 	}
-	l.takeOver(s, storeMS)
+	row := ChallengeRow{Host: s.self.Host, Epoch: l.leader.Epoch, Processors: s.self.Processors}
+	l.challenge = row
+	s.decide(Decision{Part: "leader", Action: "asked a weaker host for the lead", Subject: s.self.Host, Where: l.leader.Host, Number: uint64(row.Epoch)})
+	s.commit(Commit{Writes: []Write{{TableControl, KeyChallenge, row}}}, func(c Committed) {
+		if c.Outcome != structs.OutcomeDone {
+			s.decide(Decision{Part: "leader", Action: "request for the lead did not reach the store", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
+			l.challenge = ChallengeRow{}
+		}
+	})
 }
 
 // takeOver writes the next epoch. The conditions on both rows let exactly one
@@ -91,7 +134,10 @@
 func (l *leadership) takeOver(s *State, storeMS int64) {
 	l.busy = true
 	sent := s.now
-	row := LeaderRow{Host: s.self.Host, Instance: s.self.Instance, Epoch: l.leader.Epoch + 1}
+	row := LeaderRow{
+		Host: s.self.Host, Instance: s.self.Instance, Epoch: l.leader.Epoch + 1,
+		Processors: s.self.Processors, Strongest: max(l.leader.Strongest, s.self.Processors),
+	}
 	lease := LeaseRow{Instance: s.self.Instance, Sequence: 1, ExpiresMS: storeMS + (leadLease + leadMargin).Milliseconds()}
 	s.commit(Commit{
 		Conditions: []Condition{{TableControl, KeyLeader, l.leaderVersion}, {TableControl, KeyLease, l.leaseVersion}},
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -20,6 +20,9 @@
 	comeBack = 500 * time.Millisecond
 	// pendingAge is how old the length of a queue may be when it is answered.
 	pendingAge = 500 * time.Millisecond
+	// pendingStale is the age at which the lengths in the store are no longer
+	// answered: nobody has counted since.
+	pendingStale = 3 * time.Second
 )
 
 // request is a caller's request in progress.
@@ -252,17 +255,28 @@
 			s.retry(r, func() { s.answerPending(r, q) })
 			return
 		}
-		s.requests.pending = nil
-		for _, row := range got.Rows {
-			if p, ok := row.Value.(PendingRow); ok {
-				s.requests.pending = p.Jobs
-			}
+		lengths, fresh := queueLengths(got)
+		if !fresh {
+			s.retry(r, func() { s.answerPending(r, q) })
+			return
 		}
+		s.requests.pending = lengths
 		s.requests.pendingAt, s.requests.havePend = s.now, true
 		s.answer(r, Answer{Status: AnswerOK, IsPending: true, Pending: s.requests.pending[q.Name]})
 	})
 }
 
+// queueLengths returns the lengths of the queues in the store, and whether they
+// are recent enough to be answered. Before the first leader all queues are empty.
+func queueLengths(got RowsRead) (map[string]int, bool) {
+	for _, row := range got.Rows {
+		if p, ok := row.Value.(PendingRow); ok {
+			return p.Jobs, got.StoreMS-p.AtMS < pendingStale.Milliseconds()
+		}
+	}
+	return nil, true
+}
+
 const jobIDDigits = 16
 
 func validJobID(id string) bool {
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -47,6 +47,7 @@
 	KeyConfiguration = "config"
 	KeyLeader        = "leader"
 	KeyLease         = "lease"
+	KeyChallenge     = "challenge"
 	KeyPressures     = "pressures"
 	KeyWorkers       = "workers"
 	KeyPending       = "pending"
@@ -69,9 +70,18 @@
 // LeaderRow names the leader. It changes only when the leader changes, and each
 // commit of a leader is conditional on it.
 type LeaderRow struct {
-	Host     string             `json:"host"`
-	Instance structs.InstanceID `json:"instance"`
-	Epoch    structs.Epoch      `json:"epoch"`
+	Host       string             `json:"host"`
+	Instance   structs.InstanceID `json:"instance"`
+	Epoch      structs.Epoch      `json:"epoch"`
+	Processors float64            `json:"processors"` // of the leader
+	Strongest  float64            `json:"strongest"`  // most processors of any leader so far
+}
+
+// ChallengeRow asks the leader of an epoch to release the lead to a stronger host.
+type ChallengeRow struct {
+	Host       string        `json:"host"`
+	Epoch      structs.Epoch `json:"epoch"`
+	Processors float64       `json:"processors"`
 }
 
 // LeaseRow is the leader's lease. Each commit of the leader replaces it and is
@@ -113,6 +123,7 @@
 // PendingRow holds, by queue, the number of accepted jobs that have not begun.
 type PendingRow struct {
 	Jobs map[string]int `json:"jobs"`
+	AtMS int64          `json:"at_ms"` // when they were counted, on the store's clock
 }
 
 // ConfigurationRow is the operator's configuration.
@@ -126,6 +137,7 @@
 func (CancelRow) isRowValue()        {}
 func (LeaderRow) isRowValue()        {}
 func (LeaseRow) isRowValue()         {}
+func (ChallengeRow) isRowValue()     {}
 func (UsedRow) isRowValue()          {}
 func (PressuresRow) isRowValue()     {}
 func (PendingRow) isRowValue()       {}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -44,6 +45,56 @@
 	}
 }
 
+// Guards against a host that cannot carry the work and leads while stronger hosts
+// are there: it gives the lead up when asked, and yields to them when it is vacant.
+func TestStrongHostLeads(t *testing.T) {
+	w := newWorld(t, 0, 2)
+	weak := w.addHostOf("weak", 0.1)
+	w.settled()
+	strong := []*fakeHost{w.addHost("strong1"), w.addHost("strong2")}
+	w.until(challengeAfter+2*time.Second, "a strong leader", func() bool {
+		h := w.leader()
+		return h != nil && h != weak && h.state.leader.isLoaded()
+	})
+	for range 4 {
+		for i := range 6 {
+			w.addHostOf(fmt.Sprintf("weak%d", i), 0.1)
+		}
+		h := w.leader()
+		h.kill()
+		w.run(leadLease + 2*time.Second)
+		if got := w.leader(); got != strong[0] && got != strong[1] {
+			t.Fatalf("%v leads", got)
+		}
+		h.start()
+	}
+	strong[0].kill()
+	strong[1].kill()
+	w.until(leadLease+leadYield+2*time.Second, "a weak leader where no other host is left", func() bool { return w.leader() != nil })
+}
+
+// Guards against lengths of queues that nobody has counted for long being told
+// to callers.
+func TestStaleLengthsAreNotAnswered(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.settled()
+	w.run(2 * time.Second)
+	w.leader().kill()
+	var alive *fakeHost
+	for _, h := range w.hosts {
+		if h.alive {
+			alive = h
+		}
+	}
+	alive.state.stopping = true // takes no lead
+	w.run(pendingStale + time.Second)
+	req := w.ask(alive, RequestState, "/q/")
+	w.run(4 * time.Second)
+	if a := w.answers[req]; a.Status != AnswerUnknown {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 // Guards against a worker that is gone without a word and whose tasks never
 // run again: looks without an answer must not move the end of its lease on.
 func TestTasksOfLostWorkerRunAgain(t *testing.T) {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -191,7 +191,7 @@
 	s.stopping = true
 	s.decide(Decision{Part: "host", Action: "planned stop began", Subject: s.self.Host})
 	if s.leader != nil {
-		s.leader.release()
+		s.leader.release("planned stop")
 	}
 	s.after(min(stopServe, s.bounds.Grace/2), func() {
 		s.decide(Decision{Part: "host", Action: "planned stop ended", Subject: s.self.Host})
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -129,10 +129,14 @@
 	noStore  bool        // cut off from the store
 	timerSet uint64
 	lives    int
+	// processors is the share of a core that the host has.
+	processors float64
 }
 
-func (w *world) addHost(name string) *fakeHost {
-	h := &fakeHost{w: w, name: name}
+func (w *world) addHost(name string) *fakeHost { return w.addHostOf(name, 1) }
+
+func (w *world) addHostOf(name string, processors float64) *fakeHost {
+	h := &fakeHost{w: w, name: name, processors: processors}
 	w.hosts = append(w.hosts, h)
 	h.start()
 	return h
@@ -143,7 +147,7 @@
 	h.state, h.alive, h.frozen, h.held, h.started = NewState(), true, false, nil, h.w.now
 	h.post(Started{
 		Host: h.name, Instance: structs.InstanceID(fmt.Sprintf("%s-%d", h.name, h.lives)),
-		Seed: uint64(len(h.w.hosts)*1000 + h.lives), Bounds: testBounds,
+		Seed: uint64(len(h.w.hosts)*1000 + h.lives), Processors: h.processors, Bounds: testBounds,
 	})
 }
 
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -102,7 +102,7 @@
 	_, _ = rand.Read(seed[:]) // never fails
 	return scheduler.Started{
 		Host: h.settings.Host, Instance: structs.InstanceID(rand.Text()), Seed: binary.LittleEndian.Uint64(seed[:]),
-		Bounds: h.settings.Bounds,
+		Processors: h.settings.Processors, Bounds: h.settings.Bounds,
 	}
 }
 
