--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -39,9 +39,10 @@
 	challenge     ChallengeRow
 	used          UsedRow
 	pressures     PressuresRow
-	busy          bool    // a takeover is under way
-	seenAt        Instant // when the present epoch was seen first
-	releasedAt    Instant // when the lease was seen to be released; 0: it is not
+	busy          bool     // a takeover is under way
+	attempt       takeover // without an answer; epoch 0: none
+	seenAt        Instant  // when the present epoch was seen first
+	releasedAt    Instant  // when the lease was seen to be released; 0: it is not
 }
 
 // poll looks at the lease from time to time and takes it over when it has expired.
@@ -49,6 +50,7 @@
 	s.read(ReadRows{Table: TableControl}, func(r RowsRead) {
 		if r.Outcome == structs.OutcomeDone {
 			l.learn(s, r.Rows)
+			l.settleAttempt(s, r.StoreMS)
 			l.consider(s, r.StoreMS)
 		}
 		s.after(s.jittered(leadPoll), func() { l.poll(s) })
@@ -129,13 +131,19 @@
 	})
 }
 
+// takeover is an attempt to take the lead whose outcome is not known.
+type takeover struct {
+	epoch structs.Epoch
+	sent  Instant
+}
+
 // takeOver writes the next epoch. The conditions on both rows let exactly one
 // host succeed, and only while the former leader has not renewed.
 func (l *leadership) takeOver(s *State, storeMS int64) {
 	l.busy = true
-	sent := s.now
+	attempt := takeover{epoch: l.leader.Epoch + 1, sent: s.now}
 	row := LeaderRow{
-		Host: s.self.Host, Instance: s.self.Instance, Epoch: l.leader.Epoch + 1,
+		Host: s.self.Host, Instance: s.self.Instance, Epoch: attempt.epoch,
 		Processors: s.self.Processors, Strongest: max(l.leader.Strongest, s.self.Processors),
 	}
 	lease := LeaseRow{Instance: s.self.Instance, Sequence: 1, ExpiresMS: storeMS + (leadLease + leadMargin).Milliseconds()}
@@ -145,13 +153,36 @@
 	}, func(c Committed) {
 		l.busy = false
 		if c.Outcome != structs.OutcomeDone {
-			// A takeover that took effect without an answer is given up: its
-			// lease runs out and the next takeover has a higher epoch.
 			s.decide(Decision{Part: "leader", Action: "takeover did not succeed", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
+			if c.Outcome == structs.OutcomeUnknown {
+				l.attempt = attempt
+			}
 			return
 		}
 		l.leader, l.leaderVersion, l.lease, l.leaseVersion = row, c.Version, lease, c.Version
-		s.decide(Decision{Part: "leader", Action: "took the lead", Subject: s.self.Host, Number: uint64(row.Epoch)})
-		newLeader(s, row.Epoch, c.Version, sent, c.StoreMS)
+		l.lead(s, attempt, c.StoreMS)
 	})
 }
+
+// lead begins to schedule under an epoch that this host has written.
+func (l *leadership) lead(s *State, attempt takeover, storeMS int64) {
+	l.attempt = takeover{}
+	s.decide(Decision{Part: "leader", Action: "took the lead", Subject: s.self.Host, Number: uint64(attempt.epoch)})
+	newLeader(s, attempt.epoch, l.leaderVersion, attempt.sent, storeMS)
+}
+
+// settleAttempt begins to schedule when a takeover without an answer has taken
+// effect. Nobody else has written the lease since, or it would have another
+// version than the leader's row; the lease counts from when the takeover was sent.
+func (l *leadership) settleAttempt(s *State, storeMS int64) {
+	a := l.attempt
+	if a.epoch == 0 || s.leader != nil || s.stopping {
+		return
+	}
+	switch {
+	case s.now >= a.sent+leadLease || l.leader.Epoch > a.epoch:
+		l.attempt = takeover{}
+	case l.leader.Epoch == a.epoch && l.leader.Instance == s.self.Instance && l.lease.Instance == s.self.Instance && l.leaseVersion == l.leaderVersion:
+		l.lead(s, a, storeMS)
+	}
+}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -73,6 +73,29 @@
 	w.until(leadLease+leadYield+2*time.Second, "a weak leader where no other host is left", func() bool { return w.leader() != nil })
 }
 
+// Guards against a takeover that took effect without an answer being given up, so
+// that nobody schedules until its lease has run out.
+func TestTakeoverWithoutAnswer(t *testing.T) {
+	w := newWorld(t, 0, 1)
+	lost := 0
+	w.store.lose = func(_ *fakeHost, c Commit) int {
+		for _, write := range c.Writes {
+			if write.Key == KeyLeader && lost == 0 {
+				lost++
+				return commitUnanswered
+			}
+		}
+		return commitAnswered
+	}
+	w.addHost("host0")
+	w.until(commitTimeout+leadPoll*2, "a leader", func() bool { return w.leader() != nil })
+	if lost != 1 {
+		t.Fatalf("%d answers lost", lost)
+	}
+	w.accepted(w.hosts[0], jobA, oneStep(1, 100*time.Millisecond, 1000))
+	w.until(3*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+}
+
 // Guards against lengths of queues that nobody has counted for long being told
 // to callers.
 func TestStaleLengthsAreNotAnswered(t *testing.T) {
