scheduler: jobs are claimed before their first start, so that others need not wait after a loss of the leader

Changes: the progress of a job names the last leader that may have started its tasks, stored before its first start; only such jobs wait. A vacant lease is taken once it has been readable for a commit's timeout and its repeat, and weak hosts yield from then on. The gap between passes grows with the workers rated. Found on the way: a claim that a later change overtook was taken for stored only if nothing had changed since, so that busy jobs never started; claims that were under way rated all workers in each pass, so that the loop stood still for 2 s.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -31,6 +31,7 @@
 	inFlight     bool
 	lastSent     Instant
 	armed        bool                   // a flush is due
+	claims       map[structs.JobID]bool // jobs whose starts wait for the next commit
 	releasing    string                 // why the lead is being released; empty: it is not
 	dirty        map[structs.JobID]bool // jobs whose progress changed
 	batch        uint64                 // number of the commit that will carry present changes
@@ -41,7 +42,7 @@
 
 func (c *commitState) init(version structs.Version) {
 	c.leaseVersion, c.sequence, c.batch = version, 1, 1
-	c.dirty = make(map[structs.JobID]bool)
+	c.dirty, c.claims = make(map[structs.JobID]bool), make(map[structs.JobID]bool)
 }
 
 // touch marks a job's progress as changed.
@@ -50,7 +51,14 @@
 // flushSoon starts a commit shortly when something changed.
 func (l *leaderState) flushSoon() {
 	c := &l.commits
-	if c.armed || c.inFlight || len(c.dirty) == 0 && !c.usedChanged {
+	if c.inFlight || len(c.dirty) == 0 && !c.usedChanged {
+		return
+	}
+	if len(c.claims) > 0 {
+		l.flush()
+		return
+	}
+	if c.armed {
 		return
 	}
 	c.armed = true
@@ -66,15 +74,19 @@
 	if l.over || c.inFlight {
 		return
 	}
-	ids := slices.Sorted(maps.Keys(c.dirty))
-	if len(ids) > commitRows {
-		ids = ids[:commitRows]
-	}
+	ids := l.nextDirty()
 	var writes []Write
+	var claims []*job
 	for _, id := range ids {
 		delete(c.dirty, id)
-		if j := l.jobs[id]; j != nil {
-			writes = append(writes, Write{TableProgress, string(id), ProgressRow{j.snapshot()}})
+		delete(c.claims, id)
+		j := l.jobs[id]
+		if j == nil {
+			continue
+		}
+		writes = append(writes, Write{TableProgress, string(id), ProgressRow{j.snapshot()}})
+		if j.Claimed == l.epoch && !j.claimed {
+			claims = append(claims, j)
 		}
 	}
 	// Ends that are noted from now on belong to the next commit; those noted so
@@ -97,13 +109,27 @@
 	}
 	expired, removals := c.expiredWrites()
 	writes = append(writes, removals...)
-	l.send(change{writes: writes, jobs: ids, partial: full, used: used, expired: expired})
+	l.send(change{writes: writes, jobs: ids, claims: claims, partial: full, used: used, expired: expired})
+}
+
+// nextDirty returns the jobs that the next commit carries: claims first, since
+// starts wait for them.
+func (l *leaderState) nextDirty() []structs.JobID {
+	c := &l.commits
+	ids := slices.Sorted(maps.Keys(c.claims))
+	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
+		if !c.claims[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids[:min(len(ids), commitRows)]
 }
 
 // change is the content of one commit.
 type change struct {
 	writes  []Write
 	jobs    []structs.JobID // whose progress it has
+	claims  []*job          // that it claims for the first time
 	partial bool            // further changes wait for the next commit
 	used    UsedRow         // list of used workers; nil map: not part of it
 	expired []structs.JobID // whose last rows it removes
@@ -161,6 +187,9 @@
 			for _, id := range ch.jobs {
 				c.dirty[id] = true
 			}
+			for _, j := range ch.claims {
+				c.claims[j.ID] = true
+			}
 			c.usedChanged = c.usedChanged || ch.used.Workers != nil
 			c.expired = append(c.expired, ch.expired...)
 			c.batch = batch // nothing of it is durable yet
@@ -205,6 +234,10 @@
 	for _, id := range ch.expired {
 		delete(l.jobs, id)
 	}
+	for _, j := range ch.claims {
+		j.claimed = true
+		l.schedule.request()
+	}
 	for _, id := range ch.jobs {
 		if j := l.jobs[id]; j != nil {
 			l.progressStored(j)
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -13,7 +13,9 @@
 	structs.Progress
 
 	known     Instant // when the leader learnt of it, less its age at that time
+	early     bool    // it was accepted before this host took the lead
 	inherited bool    // a former leader may have started its tasks
+	claimed   bool    // the store knows that this leader may start its tasks
 	taken     bool    // its progress has been taken up
 	cancelled bool    // a caller asked for it to be cancelled
 	begun     bool    // a task has started
@@ -48,8 +50,8 @@
 // fails at once doesn't keep a worker and the store busy.
 const retryPause = 100 * time.Millisecond
 
-func newJob(j structs.Job, now Instant, inherited bool) *job {
-	out := &job{Job: j, known: now, inherited: inherited}
+func newJob(j structs.Job, now Instant) *job {
+	out := &job{Job: j, known: now}
 	out.State = structs.JobQueued
 	for _, step := range j.Steps {
 		out.first = append(out.first, out.per)
@@ -192,9 +194,8 @@
 	if l.jobs[row.ID] != nil {
 		return
 	}
-	inherited := version <= l.version
-	j := newJob(row, l.s.now, inherited)
-	if inherited {
+	j := newJob(row, l.s.now)
+	if j.early = version <= l.version; j.early {
 		age := time.Duration(l.s.wall-row.Wall) * time.Millisecond
 		j.known -= min(max(age, 0), maxAge)
 	}
@@ -213,6 +214,7 @@
 	if p, ok := l.early[j.ID]; ok {
 		j.restore(p)
 	}
+	j.inherited = j.Claimed > 0
 	if j.State.Final() {
 		j.finalAt = l.s.now
 		return
@@ -351,6 +353,18 @@
 	}
 }
 
+// claim records in the store that this leader may start tasks of a job, and is
+// needed before the first of them: a later leader then knows that all other jobs
+// have no runs anywhere.
+func (l *leaderState) claim(j *job) {
+	if j.Claimed == l.epoch {
+		return // under way
+	}
+	j.Claimed = l.epoch
+	l.touch(j)
+	l.commits.claims[j.ID] = true
+}
+
 // progressStored is called when the store has a job's progress.
 func (l *leaderState) progressStored(j *job) {
 	if j.stored != j.State && j.State.Final() {
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -18,9 +18,10 @@
 	// leadMargin is kept between the end of a lease for its holder and for the
 	// others, for clocks that differ in rate and for delays on the way.
 	leadMargin = 250 * time.Millisecond
-	// leadSettle is how long a host's path to the store has to have been up before it takes
-	// an expired lease, so that a leader that shared the outage gets to renew first.
-	leadSettle = 800 * time.Millisecond
+	// leadSettle is how long a host has to have been able to read the lease before
+	// it takes one that has expired, so that a leader that shared the outage gets to
+	// renew first: its commit may have to time out and be repeated.
+	leadSettle = commitTimeout + 2*storeRetry
 	// weakFactor tells which hosts are weak: those with less than this share of
 	// the processors of the strongest leader. They take the lead only when no
 	// stronger host has taken it within leadYield, which is two polls.
@@ -41,6 +42,7 @@
 	pressures     PressuresRow
 	busy          bool     // a takeover is under way
 	attempt       takeover // without an answer; epoch 0: none
+	readableAt    Instant  // since when the lease can be read; 0: it cannot
 	seenAt        Instant  // when the present epoch was seen first
 	releasedAt    Instant  // when the lease was seen to be released; 0: it is not
 }
@@ -48,6 +50,7 @@
 // poll looks at the lease from time to time and takes it over when it has expired.
 func (l *leadership) poll(s *State) {
 	s.read(ReadRows{Table: TableControl}, func(r RowsRead) {
+		since(&l.readableAt, r.Outcome == structs.OutcomeDone, s.now)
 		if r.Outcome == structs.OutcomeDone {
 			l.learn(s, r.Rows)
 			l.settleAttempt(s, r.StoreMS)
@@ -105,11 +108,12 @@
 	if released {
 		vacant = s.now - l.releasedAt
 	}
+	readable := s.now - l.readableAt
 	switch {
 	case vacant < 0:
 		l.askForLead(s)
-	case l.weak(s) && vacant < leadYield:
-	case !released && s.now-s.store.okSince < leadSettle:
+	case !released && readable < leadSettle:
+	case l.weak(s) && min(vacant, readable-leadSettle) < leadYield:
 	default:
 		l.takeOver(s, storeMS)
 	}
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -119,6 +119,7 @@
 		if !l.filter(w, j, step, policy) || !w.spread(ref, step) {
 			continue
 		}
+		l.schedule.rated++
 		score, ok := l.score(w, j, step, image)
 		switch {
 		case !ok:
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -8,14 +8,20 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-// passGap spaces scheduling passes, so that a burst of events costs one pass.
-const passGap = 10 * time.Millisecond
+const (
+	// passGap spaces scheduling passes, so that a burst of events costs one pass.
+	passGap = 10 * time.Millisecond
+	// pickCost widens the gap after a long pass: time for each worker that was
+	// rated, so that passes leave time for the answers of workers and the store.
+	pickCost = time.Microsecond
+)
 
 // scheduleState tells when the next scheduling pass is due.
 type scheduleState struct {
 	requested    bool
 	armed        bool
 	last         Instant
+	rated        int             // workers rated in the last pass
 	wakeAt       Instant         // earliest time at which a waiting task may start; 0: none
 	earlyCancels []structs.JobID // cancels whose job has not been read yet
 }
@@ -23,6 +29,9 @@
 // request asks for a pass at the end of the event.
 func (c *scheduleState) request() { c.requested = true }
 
+// gap returns the time between the last pass and the next.
+func (c *scheduleState) gap() time.Duration { return passGap + time.Duration(c.rated)*pickCost }
+
 // at asks for a pass at an instant.
 func (c *scheduleState) at(t Instant) {
 	if c.wakeAt == 0 || t < c.wakeAt {
@@ -42,12 +51,12 @@
 	}
 	var wait time.Duration
 	switch {
-	case c.requested && now >= c.last+passGap:
-		c.requested, c.last = false, now
+	case c.requested && now >= c.last+c.gap():
+		c.requested, c.last, c.rated = false, now, 0
 		l.pass()
 		return
 	case c.requested:
-		wait = c.last + passGap - now
+		wait = c.last + c.gap() - now
 	case c.wakeAt > 0:
 		wait = min(c.wakeAt-now, time.Second)
 	default:
@@ -113,8 +122,12 @@
 	return 2
 }
 
-// placeJob starts the tasks of a job whose turn has come.
+// placeJob starts the tasks of a job whose turn has come, unless the store has
+// still to learn that this leader may.
 func (l *leaderState) placeJob(j *job, full map[demand]bool) {
+	if j.Claimed == l.epoch && !j.claimed {
+		return
+	}
 	for k := range j.left {
 		if !l.due(j, k) {
 			continue
@@ -174,6 +187,10 @@
 			}
 			return
 		}
+		if !j.claimed {
+			l.claim(j)
+			return
+		}
 		l.start(j, ref, w, t.last+1)
 	}
 }
@@ -226,6 +243,10 @@
 	if places == nil {
 		return
 	}
+	if !j.claimed {
+		l.claim(j)
+		return
+	}
 	for index, w := range places {
 		ref := j.ref(k, i, index)
 		// All members resume from the same checkpoint.
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -96,6 +96,36 @@
 	w.until(3*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
 }
 
+// Guards against jobs that no leader has started waiting, after a loss of the
+// leader, for workers that cannot be reached.
+func TestUnclaimedJobsStartAtOnce(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(3, time.Minute, 1000))
+	w.until(time.Second, "all workers in use", func() bool {
+		for i := range 3 {
+			if w.running(structs.TaskRef{Job: jobA, Index: i}) == nil {
+				return false
+			}
+		}
+		return true
+	})
+	w.leader().kill()
+	w.workers["w00"].cut = true
+	alive := w.hosts[0]
+	if !alive.alive {
+		alive = w.hosts[1]
+	}
+	w.accepted(alive, jobB, oneStep(1, time.Second, 1000))
+	w.until(leadLease+2*time.Second, "a leader", func() bool { return w.leader() != nil })
+	w.until(time.Second, "the start of a job that no leader had claimed", func() bool {
+		return w.running(structs.TaskRef{Job: jobB}) != nil
+	})
+	if len(w.leader().state.leader.unaccounted) == 0 {
+		t.Error("the worker that cannot be reached is accounted for, so that nothing was shown")
+	}
+}
+
 // Guards against lengths of queues that nobody has counted for long being told
 // to callers.
 func TestStaleLengthsAreNotAnswered(t *testing.T) {
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -29,7 +29,6 @@
 	lastOK    Instant
 	failing   bool
 	failedAt  Instant // first failure since lastOK
-	okSince   Instant // first success since the last failure
 	anyOK     bool
 	failCount int // since lastOK
 }
@@ -38,7 +37,6 @@
 func (h *storeHealth) observe(s *State, outcome structs.Outcome) {
 	if outcome == structs.OutcomeDone {
 		if h.failing || !h.anyOK {
-			h.okSince = s.now
 			s.decide(Decision{Part: "store", Action: "store reached", Subject: s.self.Host, Age: s.now - h.failedAt})
 		}
 		h.failing, h.anyOK, h.lastOK, h.failCount = false, true, s.now, 0
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -365,6 +365,9 @@
 			}
 		}
 	}
+	if p, _ := o.w.store.get(TableProgress, string(e.Task.Job)).(ProgressRow); p.Claimed < e.Epoch {
+		t.Fatalf("%v: %s started under epoch %d before the store knew of it", o.w.now, taskName(e.Task), e.Epoch)
+	}
 	job, ok := o.w.jobs[e.Task.Job]
 	if !ok || job.Spec != e.Spec {
 		t.Fatalf("%s started, which nobody handed in like that", taskName(e.Task))
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -111,7 +111,9 @@
 // Progress is the durable part of a job that changes. Tasks are numbered over
 // all occurrences and steps in order.
 type Progress struct {
-	State       JobState       `json:"state"`
+	State JobState `json:"state"`
+	// Claimed is the epoch of the last leader that may have started tasks; 0: none has.
+	Claimed     Epoch          `json:"claimed,omitempty"`
 	Done        []byte         `json:"done,omitempty"`        // bit per task
 	Failures    map[int][]Run  `json:"failures,omitempty"`    // failed runs by task, each once
 	Checkpoints map[int]string `json:"checkpoints,omitempty"` // by task; of tasks that are not done
