--- a/standin/internal/deployment/process.go
+++ b/standin/internal/deployment/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,16 +36,29 @@
 // Start runs a program. Standard error goes to <folder>/<name>.log, and the
 // lines of standard output wait for NextLine.
 func Start(name, program, folder string, args ...string) (*Process, error) {
+	return start(name, folder, exec.Command(program, args...), false)
+}
+
+// StartLogged runs a program with further environment variables (NAME=value).
+// All that it writes goes to <folder>/<name>.log.
+func StartLogged(name, program, folder string, environment []string, args ...string) (*Process, error) {
+	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), environment...)
+	return start(name, folder, cmd, true)
+}
+
+func start(name, folder string, cmd *exec.Cmd, logged bool) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, oops.With("process", name).Wrapf(err, "open log")
 	}
 	defer func() { _ = log.Close() }() // the child has its own descriptor
-	cmd := exec.Command(program, args...)
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	output, err := cmd.StdoutPipe()
-	if err != nil {
+	var output io.Reader = strings.NewReader("")
+	if logged {
+		cmd.Stdout = log
+	} else if output, err = cmd.StdoutPipe(); err != nil {
 		return nil, oops.With("process", name).Wrapf(err, "open output")
 	}
 	if err := cmd.Start(); err != nil {
@@ -115,6 +129,9 @@
 	}
 }
 
+// Hangup tells the process that its settings have changed.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Terminate asks the process to stop gracefully.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
--- a/standin/jobplatform/referee.go
+++ b/standin/jobplatform/referee.go
@@ -17,14 +17,15 @@
 	Attempts int
 	Lasting  bool // its tasks run until the job is cancelled
 
-	accepted  bool
-	refused   bool // every attempt has been answered as not run
-	cancelled time.Time
-	started   bool
-	done      map[string]bool
-	failed    map[string]int // acknowledged failed runs by task
-	anyFailed map[string]int // failed runs by task
-	acked     map[string]bool
+	accepted   bool
+	refused    bool // every attempt has been answered as not run
+	cancelSent bool // a caller has asked for it to be cancelled
+	cancelled  bool // and has had success
+	started    bool
+	done       map[string]bool
+	failed     map[string]int // acknowledged failed runs by task
+	anyFailed  map[string]int // failed runs by task
+	acked      map[string]bool
 }
 
 type liveRun struct {
@@ -83,11 +84,19 @@
 	}
 }
 
+// CancelSent records that a caller is about to ask for a job to be cancelled. The
+// cancel may be performed without an answer.
+func (f *Referee) CancelSent(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[id].cancelSent = true
+}
+
 // Cancelled records that a cancel was acknowledged.
 func (f *Referee) Cancelled(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.jobs[id].cancelled = time.Now()
+	f.jobs[id].cancelled = true
 }
 
 // State checks a state that was told to a caller; an empty one means that there
@@ -101,12 +110,11 @@
 		tasks += n
 	}
 	switch {
-	case state == "" && acceptedBefore && j.cancelled.IsZero():
+	case state == "" && acceptedBefore && !j.cancelSent:
 		f.violate("LOST: accepted job %s is said not to exist", id)
 	case state == "completed" && len(j.done) < tasks:
 		f.violate("MIXED: job %s is said to be completed with %d of %d tasks done", id, len(j.done), tasks)
-	case state == "cancelled" && j.cancelled.IsZero():
-		// The cancel may have been performed without an answer; the callers record it before they send it.
+	case state == "cancelled" && !j.cancelSent:
 		f.violate("LOST: job %s is said to be cancelled, which nobody asked for", id)
 	case state == "failed":
 		f.checkFailed(id, j)
@@ -227,7 +235,7 @@
 	var owed []string
 	for id, j := range ids {
 		f.mu.Lock()
-		accepted, cancelled, lasting := j.accepted, !j.cancelled.IsZero(), j.Lasting
+		accepted, cancelSent, cancelled, lasting := j.accepted, j.cancelSent, j.cancelled, j.Lasting
 		running, tasks := 0, 0
 		for _, n := range j.Count {
 			tasks += n
@@ -241,7 +249,7 @@
 		switch {
 		case cancelled && running > 0:
 			owed = append(owed, fmt.Sprintf("job %s is cancelled and %d of its tasks run", id, running))
-		case !accepted || cancelled:
+		case !accepted || cancelSent:
 		case lasting && running < tasks:
 			owed = append(owed, fmt.Sprintf("%d of %d persistent tasks of %s run", running, tasks, id))
 		case !lasting:
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -390,3 +390,10 @@
 	w.mu.Unlock()
 	writeJSON(rw, status, body)
 }
+
+// Alive reports whether the worker is up.
+func (w *Worker) Alive() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.alive
+}
