--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,9 @@
 	go test ./core/control -count=1 -run TestTaskInvariants -rapid.checks=500 -timeout 10m
 	go test ./core/scheduler -count=1 -run TestSchedulerInvariants -rapid.checks=2000 -timeout 10m
 
+# Stateful fuzzing and the fault soak with fresh seeds; a failure prints its seed.
 soak:
+	SOAK_SECONDS=$(SOAK_SECONDS) go test ./standin/soak -count=1 -run TestSoakSeeds -timeout 0 -v
 	FRESH_SEEDS=1 go test ./core/control ./core/scheduler -count=1 -run 'Invariants' -rapid.checks=$(FUZZ_CHECKS) -timeout $(SOAK_SECONDS)s -v
 
 # Removes one rule at a time from a copy and expects its test to fail.
