scheduler: jobs that are worth nothing any more come last

Cause: in bursts on the grown sites late jobs, oldest first, stood before each other although those over three times their objective earn nothing.

--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -14,6 +14,9 @@
 	// pickCost widens the gap after a long pass: time for each worker that was
 	// rated, so that passes leave time for the answers of workers and the store.
 	pickCost = time.Microsecond
+	// worthlessAfter is the number of times its objective after which a job is worth
+	// nothing to its caller.
+	worthlessAfter = 3
 )
 
 // scheduleState tells when the next scheduling pass is due.
@@ -97,7 +100,8 @@
 }
 
 // compareRank orders jobs: by priority, persistent ones first, then those that
-// can still meet their objective, by how soon it ends.
+// can still meet their objective, those that are late, and those that are worth
+// nothing any more, each by how soon the objective ends.
 func (l *leaderState) compareRank(a, b *job, now Instant) int {
 	pa, pb := l.s.config.policyOf(&a.Job).Priority, l.s.config.policyOf(&b.Job).Priority
 	if c := cmp.Compare(pa, pb); c != 0 {
@@ -118,8 +122,10 @@
 		return 0
 	case now <= j.objective:
 		return 1
+	case now <= j.known+worthlessAfter*(j.objective-j.known):
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // placeJob starts the tasks of a job whose turn has come, unless the store has
