--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -10,7 +10,7 @@
 	// leadLease is how long a leader may act after it sent its last successful
 	// commit. A shorter lease shortens the pause after a leader's loss; the lease
 	// has to outlast one commit that times out and its repeat.
-	leadLease = 3 * time.Second
+	leadLease = 2 * time.Second
 	// leadRenew spaces the commits that renew the lease when nothing else is written.
 	leadRenew = 500 * time.Millisecond
 	// leadPoll spaces the looks of other hosts at the lease.
