scheduler: queues that need advice; a failed run beside a later run of its task counts

What: the steps of a queue with advice are started only on workers that the advice service allows, with its ticket.

--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -78,6 +78,17 @@
 	Spec       string
 	LeaseEndMS int64
 	Checkpoint string
+	Ticket     string // of the advice service; empty where the queue needs none
+}
+
+// AskAdvice asks the advice service which workers may run a step.
+type AskAdvice struct {
+	ID         EffectID
+	Job        structs.JobID
+	Occurrence int
+	Step       int
+	Workers    []structs.WorkerID
+	Timeout    time.Duration
 }
 
 // StopTask stops a run, and keeps it from starting later.
@@ -145,6 +156,7 @@
 func (StartTask) isEffect()   {}
 func (StopTask) isEffect()    {}
 func (PaceTask) isEffect()    {}
+func (AskAdvice) isEffect()   {}
 func (Answer) isEffect()      {}
 func (SetReady) isEffect()    {}
 func (Decision) isEffect()    {}
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -145,6 +145,13 @@
 	Born    int64
 }
 
+// Advised is the outcome of an AskAdvice.
+type Advised struct {
+	Effect  EffectID
+	Outcome structs.Outcome
+	Tickets map[structs.WorkerID]string // of the workers that may run the step
+}
+
 func (Started) isEvent()        {}
 func (TimerFired) isEvent()     {}
 func (StopRequested) isEvent()  {}
@@ -154,3 +161,4 @@
 func (Committed) isEvent()      {}
 func (WorkerHeld) isEvent()     {}
 func (Ordered) isEvent()        {}
+func (Advised) isEvent()        {}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -278,6 +278,7 @@
 			l.stop(r, "job "+string(state))
 		}
 	}
+	l.forgetAdvice(j)
 	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
 }
 
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -40,6 +40,7 @@
 	commits      commitState
 	interference *interference
 	schedule     scheduleState
+	advice       adviceState
 	pending      map[string]int // queue lengths as last written
 	pendingAt    Instant
 	// pressuresAt is when the learned pressures were last written.
@@ -54,6 +55,7 @@
 		early: make(map[structs.JobID]structs.Progress), unaccounted: make(map[structs.WorkerID]bool), interference: newInterference(s.lead.pressures),
 	}
 	l.commits.init(version)
+	l.advice.steps = make(map[stepKey]*stepAdvice)
 	s.leader = l
 	for id, address := range s.lead.used.Workers {
 		w := l.addWorker(id)
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -119,6 +119,9 @@
 		if !l.filter(w, j, step, policy) || !w.spread(ref, step) {
 			continue
 		}
+		if _, may := l.ticketFor(w, keyOf(ref), policy); !may {
+			continue
+		}
 		l.schedule.rated++
 		score, ok := l.score(w, j, step, image)
 		switch {
@@ -183,6 +186,9 @@
 			if !l.filter(w, j, step, policy) || step.PerWorker > 0 && count[w] >= step.PerWorker {
 				continue
 			}
+			if _, may := l.ticketFor(w, stepKey{j.ID, k, i}, policy); !may {
+				continue
+			}
 			if !occupies(step).Add(extra[w]).Add(w.taken).Fits(w.entry.Capacity) {
 				continue
 			}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -93,6 +93,7 @@
 	leaseEnd := w.leaseEnd(l.s.now, l.s.bounds)
 	w.promise(leaseEnd)
 	e := StartTask{Order: l.orderTo(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
+	e.Ticket, _ = l.ticketFor(w, keyOf(ref), l.s.config.policyOf(&j.Job))
 	e.ID = l.expectOrder(func(o Ordered) { l.startAnswered(r, o) })
 	l.s.emit(e)
 	l.s.decide(Decision{Part: "task", Action: "start ordered", Subject: taskName(ref), Where: string(w.id), Number: uint64(id), Age: l.s.now - w.confirmed})
@@ -149,6 +150,8 @@
 	case RefusedRun:
 		t.last = max(t.last, r.id)
 		w.holdSoon()
+	case RefusedTicket:
+		l.dropTicket(r.ref, w.id)
 	case RefusedInvalid:
 		w.pause(unhealthyPause)
 		t.notBefore = l.s.now + unhealthyPause
@@ -253,7 +256,7 @@
 	}
 	t := j.taskAt(e.Task)
 	t.last = max(t.last, e.Run)
-	if r == nil && t.run != nil {
+	if r == nil && t.run != nil && e.End != structs.EndFailed {
 		return // an earlier run, given up when its lease had run out; the task has been started again since
 	}
 	switch e.End {
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -188,7 +188,9 @@
 		}
 		w := l.pick(j, ref, t)
 		if w == nil {
-			if j.Steps[i].PerWorker == 0 {
+			if l.s.config.policyOf(&j.Job).Advice != nil {
+				l.askAdvice(j, keyOf(ref))
+			} else if j.Steps[i].PerWorker == 0 {
 				full[wants] = true
 			}
 			return
@@ -247,6 +249,7 @@
 	}
 	places := l.pickGang(j, k, i)
 	if places == nil {
+		l.askAdvice(j, stepKey{j.ID, k, i})
 		return
 	}
 	if !j.claimed {
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -126,6 +126,56 @@
 	}
 }
 
+// Guards against a failed run that is not counted because a new leader has read
+// of a later run of the task on another worker first.
+func TestFailedRunBesideLaterRunCounts(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settled()
+	w.accepted(w.hosts[0], jobA, oneStep(1, time.Minute, 1000))
+	task := structs.TaskRef{Job: jobA}
+	w.until(time.Second, "the start", func() bool { return w.running(task) != nil })
+	l := w.leader().state.leader
+	idle := l.workers["w00"]
+	if w.running(task).id == "w00" {
+		idle = l.workers["w01"]
+	}
+	l.endListed(idle, structs.EndedRun{Number: 1, Task: task, Run: 1001, End: structs.EndFailed})
+	if got := l.jobs[jobA].Failures[0]; !slices.Equal(got, []structs.Run{1001}) {
+		t.Errorf("failed runs %v", got)
+	}
+	if l.jobs[jobA].tasks[0].run == nil {
+		t.Error("the later run was given up")
+	}
+}
+
+// Guards against starts, in a queue that needs advice, on workers that may not
+// run the step or without its ticket, and against questions that repeat.
+func TestAdvisedQueue(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.allowed = map[structs.WorkerID]bool{"w02": true}
+	w.store.set(TableOperator, KeyConfiguration, ConfigurationRow{structs.QueueConfiguration{
+		Number: 2, Queues: []structs.Queue{{Name: queueName, Host: "h", PathPrefix: "/q/", Policy: structs.Policy{
+			Service: serviceName, Attempts: 3, Stretch: 2, Slack: time.Second,
+			Advice: &structs.AdviceTerms{Decide: 50 * time.Millisecond, PerWorker: time.Millisecond, Valid: 10 * time.Second},
+		}}},
+	}})
+	for id, f := range w.workers {
+		f.onStart = func(e StartTask) startFate {
+			if want := fmt.Sprintf("%s.0.0 on %s", e.Task.Job, id); e.Ticket != want || !w.allowed[id] {
+				t.Errorf("start on %s with ticket %q", id, e.Ticket)
+			}
+			return startAnswered
+		}
+	}
+	w.settled()
+	w.run(time.Second)
+	w.accepted(w.hosts[0], jobA, oneStep(5, time.Second, 1000))
+	w.until(4*time.Second, "completion", func() bool { return w.progress(jobA) == structs.JobCompleted })
+	if w.questions != 1 {
+		t.Errorf("%d questions", w.questions)
+	}
+}
+
 // Guards against lengths of queues that nobody has counted for long being told
 // to callers.
 func TestStaleLengthsAreNotAnswered(t *testing.T) {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -70,6 +70,8 @@
 		s.finish(b.Effect, b)
 	case Ordered:
 		s.finish(b.Effect, b)
+	case Advised:
+		s.finish(b.Effect, b)
 	}
 }
 
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -15,19 +15,22 @@
 // world plays hosts, a store and workers in virtual time. Its oracle checks
 // what must always hold, from what the workers and callers see.
 type world struct {
-	t       rapid.TB
-	now     time.Duration
-	seq     uint64
-	due     worldQueue
-	store   *fakeStore
-	workers map[structs.WorkerID]*fakeWorker
-	hosts   []*fakeHost
-	answers map[RequestID]Answer
-	lastReq RequestID
-	jobs    map[structs.JobID]structs.Job
-	oracle  oracle
-	records []string                          // decisions of all hosts, in order
-	saved   map[structs.TaskRef]time.Duration // work that checkpoints hold
+	t         rapid.TB
+	now       time.Duration
+	seq       uint64
+	due       worldQueue
+	store     *fakeStore
+	workers   map[structs.WorkerID]*fakeWorker
+	hosts     []*fakeHost
+	answers   map[RequestID]Answer
+	lastReq   RequestID
+	jobs      map[structs.JobID]structs.Job
+	oracle    oracle
+	allowed   map[structs.WorkerID]bool // by the advice service
+	asked     bool                      // a question is being answered
+	questions int
+	records   []string                          // decisions of all hosts, in order
+	saved     map[structs.TaskRef]time.Duration // work that checkpoints hold
 }
 
 type worldEvent struct {
@@ -225,6 +228,8 @@
 		h.order(e.Order, Ordered{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
 			f.ordered(h, e.ID, func() Ordered { return f.paceTask(e) })
 		})
+	case AskAdvice:
+		h.w.advise(h, e)
 	case Answer:
 		h.w.answers[e.Request] = e
 	case Decision:
@@ -259,6 +264,23 @@
 	do(f)
 }
 
+// advise answers as the advice service does, one question of a host at a time.
+func (w *world) advise(h *fakeHost, e AskAdvice) {
+	w.questions++
+	if w.asked {
+		w.t.Fatal("a second question before the first was answered")
+	}
+	w.asked = true
+	result := Advised{Effect: e.ID, Outcome: structs.OutcomeDone, Tickets: make(map[structs.WorkerID]string)}
+	for _, id := range e.Workers {
+		if w.allowed[id] {
+			result.Tickets[id] = fmt.Sprintf("%s.%d.%d on %s", e.Job, e.Occurrence, e.Step, id)
+		}
+	}
+	w.after(100*time.Millisecond, func() { w.asked = false })
+	h.later(100*time.Millisecond, result)
+}
+
 func (w *world) byAddress(address string) *fakeWorker {
 	for _, f := range w.workers {
 		if f.address == address {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -66,11 +66,20 @@
 
 // Policy is how a queue treats its jobs.
 type Policy struct {
-	Service  string        `json:"service"`  // names the workers that run the tasks
-	Priority int           `json:"priority"` // 0 comes first
-	Attempts int           `json:"attempts"` // failed runs of one task after which the job has failed; 0: no limit
-	Stretch  float64       `json:"stretch"`  // objective: this many times the longest chain of work ...
-	Slack    time.Duration `json:"slack"`    // ... and this much more
+	Service  string        `json:"service"`          // names the workers that run the tasks
+	Priority int           `json:"priority"`         // 0 comes first
+	Attempts int           `json:"attempts"`         // failed runs of one task after which the job has failed; 0: no limit
+	Stretch  float64       `json:"stretch"`          // objective: this many times the longest chain of work ...
+	Slack    time.Duration `json:"slack"`            // ... and this much more
+	Advice   *AdviceTerms  `json:"advice,omitempty"` // nil: any worker of the service may run the steps
+}
+
+// AdviceTerms are those of a queue whose steps only some workers may run, which
+// the advice service tells.
+type AdviceTerms struct {
+	Decide    time.Duration `json:"decide"`     // time that an answer takes ...
+	PerWorker time.Duration `json:"per_worker"` // ... and for each worker named
+	Valid     time.Duration `json:"valid"`      // a ticket holds for so long
 }
 
 // Step is a group of equal tasks of a job.
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -48,6 +48,7 @@
 
 	store   *platform.Store
 	workers *platform.Workers
+	advisor *platform.Advisor
 	pools   map[string]*runner.Pool[scheduler.EventBody]
 
 	front   *front
@@ -71,6 +72,7 @@
 	pool("watch", watchCalls, watchCalls)
 	pool("look", looksAtOnce, looksAtOnce)
 	pool("order", ordersAtOnce, ordersWaiting)
+	pool("advice", 1, 1)
 	client := func(perHost int) *platform.Client {
 		return platform.NewClient(transport.New(transport.Limits{
 			PerHost: perHost, Idle: perHost, IdleTime: idleConnection, Dial: dialTimeout,
@@ -78,6 +80,7 @@
 	}
 	h.store = platform.NewStore(client(storePerHost), s.Store)
 	h.workers = platform.NewWorkers(client(workerPerHost))
+	h.advisor = platform.NewAdvisor(client(1), s.Advice)
 	h.front = newFront(h)
 	h.gauges(lines)
 	return h
@@ -162,6 +165,11 @@
 			r, err := h.workers.Pace(ctx, e)
 			return r, r.Outcome, err
 		}, scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+	case scheduler.AskAdvice:
+		h.submit("advice", "advise", h.settings.Advice, e.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
+			r, err := h.advisor.Ask(ctx, e)
+			return r, r.Outcome, err
+		}, scheduler.Advised{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.Answer:
 		h.front.deliver(e)
 	case scheduler.SetReady:
