scheduler: the list of workers is followed three times a second; weak hosts look at the lease less often

Cause: each heartbeat of each worker (233 a second with 350 workers) answered the leader's watch, and 31 weak hosts of 39 looked at the lease twice a second although they leave it to others at first.

--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -15,6 +15,8 @@
 	leadRenew = 500 * time.Millisecond
 	// leadPoll spaces the looks of other hosts at the lease.
 	leadPoll = 500 * time.Millisecond
+	// weakPoll does so for weak hosts, which leave a vacant lead to others at first.
+	weakPoll = 1200 * time.Millisecond
 	// leadMargin is kept between the end of a lease for its holder and for the
 	// others, for clocks that differ in rate and for delays on the way.
 	leadMargin = 250 * time.Millisecond
@@ -56,7 +58,11 @@
 			l.settleAttempt(s, r.StoreMS)
 			l.consider(s, r.StoreMS)
 		}
-		s.after(s.jittered(leadPoll), func() { l.poll(s) })
+		gap := leadPoll
+		if l.weak(s) && s.leader == nil {
+			gap = weakPoll
+		}
+		s.after(s.jittered(gap), func() { l.poll(s) })
 	})
 }
 
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -22,6 +22,9 @@
 	// configuration within two seconds.
 	watchWait  = 1200 * time.Millisecond
 	watchSlack = 600 * time.Millisecond
+	// workersGap spaces the answers of the watch of the list of workers, which
+	// changes with each heartbeat of each worker.
+	workersGap = 300 * time.Millisecond
 )
 
 // storeHealth is what the host knows about its path to the store.
@@ -188,6 +191,10 @@
 		if len(r.Rows) > 0 {
 			w.rows(r.Rows, false)
 		}
+		if w.table == TableWorkers {
+			s.after(workersGap, func() { w.wait(s) })
+			return
+		}
 		w.wait(s)
 	}
 }
