--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -45,8 +45,6 @@
 	roundingMS = 0.3
 	// maxUse bounds a measured use: a tail says little once a task is overloaded.
 	maxUse = 0.99
-	// tailMargin is the share of the target at which tasks that fill are held back.
-	tailMargin = 0.9
 	// placeMargin is kept free by placement for the swing of a serving task's load.
 	placeMargin = 0.05
 )
@@ -118,8 +116,7 @@
 
 // safeUse returns the use at which a serving task still meets its target.
 func (m *interference) safeUse(r *run) float64 {
-	target := tailMargin * float64(r.step.TailTarget.Milliseconds())
-	return 1 - m.bases[r.image]/max(target, 1)
+	return 1 - m.bases[r.image]/max(float64(r.step.TailTarget.Milliseconds()), 1)
 }
 
 // observe takes in the figures of a look at a worker.
