--- a/core/control/call_fuzz_test.go
+++ b/core/control/call_fuzz_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/internal/testseed"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 	"pgregory.net/rapid"
 )
@@ -28,7 +29,7 @@
 // answered exactly once unless its host was lost, and that an answer belongs to
 // its own request.
 func TestCallInvariants(t *testing.T) {
-	fixSeed(t)
+	testseed.Fix(t)
 	rapid.Check(t, func(t *rapid.T) {
 		f := &callFuzz{w: smallWorld(rapid.Uint64().Draw(t, "seed")), incarnation: 1, lost: make(map[*node]bool), ended: make(map[*node]bool), left: make(map[*fakeWorker]time.Duration)}
 		f.w.arriving = f.arriving
--- a/core/control/config_fuzz_test.go
+++ b/core/control/config_fuzz_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/internal/testseed"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 	"pgregory.net/rapid"
 )
@@ -86,7 +87,7 @@
 // two owners once all is calm, and a new sheet is in force everywhere within
 // 3 s while the store is up.
 func TestConfigInvariants(t *testing.T) {
-	fixSeed(t)
+	testseed.Fix(t)
 	rapid.Check(t, func(t *rapid.T) {
 		w := smallWorld(rapid.Uint64().Draw(t, "seed"))
 		o := &configOracle{
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 // State is all control state of one entry host. Only Reduce changes it.
@@ -19,9 +20,8 @@
 	nextEffect EffectID
 	pending    map[EffectID]completion // effects that await their outcome
 
-	timers   timerHeap
-	timerSeq uint64
-	seed     uint64
+	timers timers.Queue[timer]
+	seed   uint64
 
 	store        storeState
 	members      membership
--- a/core/control/task_fuzz_test.go
+++ b/core/control/task_fuzz_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/core/internal/testseed"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 	"pgregory.net/rapid"
 )
@@ -23,7 +24,7 @@
 // over-committed, no task runs twice, no run starts twice, and once the faults
 // are over the sheet is in force, with no room held by anything else.
 func TestTaskInvariants(t *testing.T) {
-	fixSeed(t)
+	testseed.Fix(t)
 	rapid.Check(t, func(t *rapid.T) {
 		f := &taskFuzz{w: taskWorld(rapid.Uint64().Draw(t, "world"), rapid.IntRange(1, 3).Draw(t, "partitions"), 8), stopped: make(map[string]bool), incarnation: 1}
 		f.w.log = func(format string, args ...any) { t.Logf(format, args...) }
--- a/core/control/timer.go
+++ b/core/control/timer.go
@@ -1,7 +1,5 @@
 package control
 
-import "container/heap"
-
 // timerKind tells which part set a timer.
 type timerKind uint8
 
@@ -26,55 +24,32 @@
 	timerPolicy // arg: partition; learning and crest control
 )
 
-// timer is a deadline of one part. Timers with equal deadlines fire in the
-// order in which they were set.
+// timer is a deadline of one part.
 type timer struct {
-	at   Instant
-	seq  uint64
 	kind timerKind
 	arg  uint64
 }
 
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // setTimer asks for fire to be called with the kind and argument at the
 // instant. Timers cannot be cancelled; handlers check that they still apply.
 func (s *State) setTimer(at Instant, kind timerKind, arg uint64) {
-	s.timerSeq++
-	heap.Push(&s.timers, timer{at: at, seq: s.timerSeq, kind: kind, arg: arg})
+	s.timers.Add(at, timer{kind, arg})
 }
 
 // NextDeadline returns the instant at which the reducer wants TimerFired.
-func (s *State) NextDeadline() (Instant, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
-	}
-	return s.timers[0].at, true
-}
+func (s *State) NextDeadline() (Instant, bool) { return s.timers.Next() }
 
 // maxTimersPerEvent bounds the work of one event; the rest fires in the next.
 const maxTimersPerEvent = 64
 
 // fireTimers calls the handlers of timers that are due.
 func (s *State) fireTimers() {
-	for n := 0; n < maxTimersPerEvent && len(s.timers) > 0 && s.timers[0].at <= s.now; n++ {
-		s.fire(heap.Pop(&s.timers).(timer))
+	for range maxTimersPerEvent {
+		t, due := s.timers.TakeDue(s.now)
+		if !due {
+			return
+		}
+		s.fire(t)
 	}
 }
 
--- a/core/control/seed_test.go
+++ b/core/internal/testseed/testseed.go
@@ -1,4 +1,5 @@
-package control_test
+// Package testseed makes runs of rapid repeatable. Only tests use it.
+package testseed
 
 import (
 	"flag"
@@ -6,9 +7,9 @@
 	"testing"
 )
 
-// fixSeed makes a run of rapid repeatable, unless the command line gives a seed
-// or FRESH_SEEDS is set, as for a soak. rapid prints the seed of a failure.
-func fixSeed(t *testing.T) {
+// Fix gives rapid a fixed seed, unless the command line gives one or FRESH_SEEDS
+// is set, as for a soak. rapid prints the seed of a failure.
+func Fix(t *testing.T) {
 	seed := flag.Lookup("rapid.seed")
 	if seed.Value.String() != "0" || os.Getenv("FRESH_SEEDS") != "" {
 		return
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/internal/testseed"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 	"pgregory.net/rapid"
 )
@@ -19,7 +20,7 @@
 // the store goes away and performs commits late, workers crash, are cut off and
 // carry starts out late.
 func TestSchedulerInvariants(t *testing.T) {
-	fixSeed(t)
+	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, 3, 4)
 		requests := make(map[RequestID]string)
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -1,10 +1,11 @@
 package scheduler
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
 	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 // State is all control state of one host. Only Reduce changes it.
@@ -19,8 +20,7 @@
 	nextEffect EffectID
 	pending    map[EffectID]func(EventBody) // handlers of outcomes that are still to come
 
-	timers   timerHeap
-	timerSeq uint64
+	timers timers.Queue[func()]
 
 	store    storeHealth
 	config   configState
@@ -109,38 +109,10 @@
 
 func (s *State) decide(d Decision) { s.emit(d) }
 
-// timer is work at an instant. Timers for one instant fire in the order in
-// which they were set.
-type timer struct {
-	at   Instant
-	seq  uint64
-	fire func()
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*h = old[:len(old)-1]
-	return last
-}
-
 // after calls fire once the time has passed. Timers cannot be cancelled; fire
 // checks that it still applies.
 func (s *State) after(d time.Duration, fire func()) {
-	s.timerSeq++
-	heap.Push(&s.timers, timer{at: s.now + d, seq: s.timerSeq, fire: fire})
+	s.timers.Add(s.now+d, fire)
 }
 
 // jittered returns a duration between three quarters and five quarters of d, so
@@ -157,18 +129,13 @@
 }
 
 func (s *State) fireTimers() {
-	for len(s.timers) > 0 && s.timers[0].at <= s.now {
-		heap.Pop(&s.timers).(timer).fire()
+	for fire, due := s.timers.TakeDue(s.now); due; fire, due = s.timers.TakeDue(s.now) {
+		fire()
 	}
 }
 
 // NextDeadline returns when the reducer wants TimerFired.
-func (s *State) NextDeadline() (Instant, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
-	}
-	return s.timers[0].at, true
-}
+func (s *State) NextDeadline() (Instant, bool) { return s.timers.Next() }
 
 // Machine runs the reducer in a control loop.
 type Machine struct{ State *State }
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -131,45 +131,21 @@
 func (h *Host) execute(e scheduler.Effect) {
 	switch e := e.(type) {
 	case scheduler.Commit:
-		h.submit("store", "commit", h.settings.Store, e.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.store.Commit(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.submit("store", "commit", h.settings.Store, e.Timeout, exchangeOf(h.store.Commit, e), scheduler.Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.ReadRows:
-		h.submit("store", "read", h.settings.Store, e.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.store.ReadRows(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.RowsRead{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.submit("store", "read", h.settings.Store, e.Timeout, exchangeOf(h.store.ReadRows, e), scheduler.RowsRead{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.WatchRows:
-		h.submit("watch", "watch", h.settings.Store, e.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.store.WatchRows(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.RowsRead{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.submit("watch", "watch", h.settings.Store, e.Timeout, exchangeOf(h.store.WatchRows, e), scheduler.RowsRead{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.HoldWorker:
-		h.order("look", "look", e.Order, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.workers.Hold(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.WorkerHeld{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.order("look", "look", e.Order, exchangeOf(h.workers.Hold, e), scheduler.WorkerHeld{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.StartTask:
-		h.order("order", "start", e.Order, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.workers.Start(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.order("order", "start", e.Order, exchangeOf(h.workers.Start, e), scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.StopTask:
-		h.order("order", "stop", e.Order, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.workers.Stop(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.order("order", "stop", e.Order, exchangeOf(h.workers.Stop, e), scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.PaceTask:
-		h.order("order", "pace", e.Order, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.workers.Pace(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.order("order", "pace", e.Order, exchangeOf(h.workers.Pace, e), scheduler.Ordered{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.AskAdvice:
-		h.submit("advice", "advise", h.settings.Advice, e.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
-			r, err := h.advisor.Ask(ctx, e)
-			return r, r.Outcome, err
-		}, scheduler.Advised{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.submit("advice", "advise", h.settings.Advice, e.Timeout, exchangeOf(h.advisor.Ask, e), scheduler.Advised{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.Answer:
 		h.front.deliver(e)
 	case scheduler.SetReady:
@@ -182,7 +158,30 @@
 	}
 }
 
-type exchange func(context.Context) (scheduler.EventBody, structs.Outcome, error)
+// exchange executes one effect and returns the event that answers it.
+type exchange func(context.Context) (scheduler.EventBody, error)
+
+// exchangeOf binds an effect to the call that executes it.
+func exchangeOf[E scheduler.Effect, B scheduler.EventBody](execute func(context.Context, E) (B, error), e E) exchange {
+	return func(ctx context.Context) (scheduler.EventBody, error) { return execute(ctx, e) }
+}
+
+// outcomeOf returns the outcome of an effect from the event that answers it.
+func outcomeOf(body scheduler.EventBody) structs.Outcome {
+	switch b := body.(type) {
+	case scheduler.Committed:
+		return b.Outcome
+	case scheduler.RowsRead:
+		return b.Outcome
+	case scheduler.WorkerHeld:
+		return b.Outcome
+	case scheduler.Ordered:
+		return b.Outcome
+	case scheduler.Advised:
+		return b.Outcome
+	}
+	return structs.OutcomeUnknown
+}
 
 // submit runs one request on a pool. NotRun is the event for a request that was
 // never begun.
@@ -191,7 +190,8 @@
 		Timeout: timeout,
 		Run: func(ctx context.Context) scheduler.EventBody {
 			began := time.Now()
-			body, outcome, err := request(ctx)
+			body, err := request(ctx)
+			outcome := outcomeOf(body)
 			h.numbers.Request(pool, step, outcome, time.Since(began))
 			if err != nil {
 				// The reducer logs what follows from a failure; the cause is detail.
@@ -205,9 +205,9 @@
 
 // order sends an order to a worker unless the lease that allows it has run out.
 func (h *Host) order(pool, step string, o scheduler.Order, request exchange, notSent scheduler.EventBody) {
-	h.submit(pool, step, o.Address, o.Timeout, func(ctx context.Context) (scheduler.EventBody, structs.Outcome, error) {
+	h.submit(pool, step, o.Address, o.Timeout, func(ctx context.Context) (scheduler.EventBody, error) {
 		if h.clock() > o.NotAfter {
-			return notSent, structs.OutcomeNotDone, nil
+			return notSent, nil
 		}
 		return request(ctx)
 	}, notSent)
