--- a/entry/cmd/tamarackstep/main.go
+++ b/entry/cmd/tamarackstep/main.go
@@ -18,6 +18,7 @@
 	"github.com/tamarackstep/tamarackstep/entry/internal/host"
 	"github.com/tamarackstep/tamarackstep/entry/internal/logging"
 	"github.com/tamarackstep/tamarackstep/entry/internal/settings"
+	"github.com/tamarackstep/tamarackstep/platform"
 )
 
 // Exit statuses.
@@ -49,6 +50,7 @@
 		Enum("debug", "info", "warn", "error")
 	check := app.Command("check-settings", "Check a settings file and report all its faults.")
 	checked := check.Arg("file", "Settings file (TOML).").Required().String()
+	ofPlatform := check.Flag("platform", "The file is one that the users' platform writes.").Bool()
 	again := app.Command("replay", "Apply recorded events to a fresh reducer and print the effects.")
 	recorded := again.Arg("file", "File written by run --record.").Required().String()
 
@@ -70,7 +72,7 @@
 	case onPlatform.FullCommand():
 		return runOnPlatform(*level, stdout, stderr)
 	case check.FullCommand():
-		return checkSettings(*checked, stdout, stderr)
+		return checkSettings(*checked, *ofPlatform, stdout, stderr)
 	case again.FullCommand():
 		return replay(*recorded, stdout, stderr)
 	}
@@ -95,8 +97,14 @@
 	return command, nil, err
 }
 
-func checkSettings(file string, stdout, stderr io.Writer) int {
-	if _, err := settings.Load(file); err != nil {
+func checkSettings(file string, ofPlatform bool, stdout, stderr io.Writer) int {
+	var err error
+	if ofPlatform {
+		_, err = platform.LoadSettings(file)
+	} else {
+		_, err = settings.Load(file)
+	}
+	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
