--- a/standin/cmd/measure/usage.go
+++ b/standin/cmd/measure/usage.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	clockTicksPerSecond = 100 // USER_HZ of /proc on Linux
-	metricsTimeout      = 3 * time.Second
-	usageHeader         = "entry_hosts,workers,tasks,partitions,placed_s,cpu_ms_per_s,cpu_max,rss_mb,anon_mb,read_kb_per_s,write_kb_per_s," +
+	metricsTimeout = 3 * time.Second
+	usageHeader    = "entry_hosts,workers,tasks,partitions,placed_s,cpu_ms_per_s,cpu_max,rss_mb,anon_mb,read_kb_per_s,write_kb_per_s," +
 		"store_requests_per_s,worker_requests_per_s,peer_requests_per_s"
 	loadHeader = ",calls,failed,p50_ms,p99_ms,max_ms,events_per_s,mean_step_us"
 )
@@ -54,16 +53,10 @@
 
 func readUsage(h *deployment.EntryHost) (usage, error) {
 	var u usage
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.PID()))
-	if err != nil {
+	var err error
+	if u.cpu, err = h.CPUTime(); err != nil {
 		return u, err
 	}
-	// After the program's name in parentheses, utime and stime are the 12th and
-	// 13th fields.
-	_, rest, _ := strings.Cut(string(stat), ") ")
-	fields := strings.Fields(rest)
-	ticks := parseNumber(fields[11]) + parseNumber(fields[12])
-	u.cpu = time.Duration(ticks) * time.Second / clockTicksPerSecond
 	io, err := readFields(h.PID(), "io")
 	if err != nil {
 		return u, err
--- a/standin/internal/deployment/process.go
+++ b/standin/internal/deployment/process.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -105,6 +107,33 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
+// clockTicksPerSecond is the unit of processor times in /proc (USER_HZ on Linux).
+const clockTicksPerSecond = 100
+
+// CPUTime returns the processor time that the process has used so far.
+func (p *Process) CPUTime() (time.Duration, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0, oops.With("process", p.Name).Wrapf(err, "read processor time")
+	}
+	// After the program's name in parentheses, utime and stime are the 12th and
+	// 13th fields.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, oops.With("process", p.Name).Errorf("stat has %d fields, need 13", len(fields))
+	}
+	var total time.Duration
+	for _, text := range fields[11:13] {
+		ticks, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return 0, oops.With("process", p.Name).Wrapf(err, "parse processor time")
+		}
+		total += time.Duration(ticks) * time.Second / clockTicksPerSecond
+	}
+	return total, nil
+}
+
 // Alive reports whether the process is still running. A frozen process is alive.
 func (p *Process) Alive() bool {
 	select {
--- a/standin/jobplatform/checker.go
+++ b/standin/jobplatform/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	MaxAttempts  int     // failed runs of a task after which the job fails
 	Persistent   bool    // its tasks run until the job is cancelled
 
+	submittedAt   time.Time
 	accepted      bool
 	refused       bool // every submission was answered as not run
 	cancelSent    bool // a caller has sent a cancel
@@ -42,6 +44,8 @@
 	jobs       map[string]*JobRecord
 	activeRuns map[string]activeRun // by task
 	violations []string
+	starts     int             // runs that workers have started
+	startWaits []time.Duration // from the submission of a job to its first start, in order of the starts
 }
 
 // NewChecker returns a checker without observations.
@@ -56,6 +60,21 @@
 	return append([]string(nil), c.violations...)
 }
 
+// Starts returns how many runs workers have started.
+func (c *Checker) Starts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts
+}
+
+// StartWaits returns the times from the submission of each started job to its first
+// start, sorted.
+func (c *Checker) StartWaits() []time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(slices.Values(c.startWaits))
+}
+
 func (c *Checker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, time.Now().Format("15:04:05.000")+" "+fmt.Sprintf(format, args...))
 }
@@ -65,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	record.doneTasks, record.ackedFailures, record.ackedDone = make(map[string]bool), make(map[string]int), make(map[string]bool)
-	record.failures = make(map[string]int)
+	record.failures, record.submittedAt = make(map[string]int), time.Now()
 	c.jobs[id] = &record
 }
 
@@ -188,6 +207,10 @@
 			}
 		}
 	}
+	c.starts++
+	if !j.started {
+		c.startWaits = append(c.startWaits, time.Since(j.submittedAt))
+	}
 	j.started = true
 	c.activeRuns[task] = activeRun{w.ID, run}
 }
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -132,11 +132,16 @@
 	return body, record
 }
 
-// submitJob sends a job until it is accepted or known not to be. Without such an
-// answer it stops after maxAttempts, and the result stays unknown.
+// submitJob submits a new job.
 func (c *callerPool) submitJob(rng *rand.Rand, client *http.Client) {
 	id := fmt.Sprintf("%0*x", jobIDDigits, rng.Uint64())
 	body, record := newJob(rng)
+	c.submit(rng, client, id, body, record)
+}
+
+// submit sends a job until it is accepted or known not to be. Without such an
+// answer it stops after maxAttempts, and the result stays unknown.
+func (c *callerPool) submit(rng *rand.Rand, client *http.Client, id string, body []byte, record jobplatform.JobRecord) {
 	c.cluster.Checker.JobSubmitted(id, record)
 	allNotRun := true // every attempt so far was answered as not run
 	for range maxAttempts {
