platform, scheduler: skip odd rows of other writers

Cause: the list of workers, job rows and progress rows were used as they were decoded. A job row with a negative task count or a dependency on a later step ended every leader that read it, one after another. Durations from floats overflowed to values that differ between processors.

An unusable row is logged once.

--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -11,6 +11,8 @@
 	current structs.QueueConfiguration
 	loaded  bool
 	byName  map[string]*structs.Queue
+
+	unreadable structs.Version // of the last row that could not be read
 }
 
 func (c *configState) known() bool { return c.loaded }
@@ -24,6 +26,10 @@
 		}
 		v, ok := r.Value.(ConfigurationRow)
 		if !ok {
+			if s.config.unreadable == r.Version {
+				continue
+			}
+			s.config.unreadable = r.Version
 			s.logDecision(Decision{Part: "config", Action: "configuration cannot be read, keeping the current one", Subject: r.Key, Number: uint64(r.Version)})
 			continue
 		}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -172,6 +172,10 @@
 	return longest
 }
 
+// maxObjective bounds the span from a job's acceptance to its soft deadline, so that
+// an estimate that is far too long does not overflow it.
+const maxObjective = 30 * 24 * time.Hour
+
 // maxJobAge bounds the age of a job computed from the time of day at the host that
 // accepted it, since that clock may be wrong.
 const maxJobAge = 30 * time.Second
@@ -183,7 +187,11 @@
 		}
 		v, ok := r.Value.(JobRow)
 		if !ok {
-			l.state.logDecision(Decision{Part: "job", Action: "job row cannot be read", Subject: r.Key, Number: uint64(r.Version)})
+			l.logUnreadable(TableJobs, r, "job", "job row cannot be read")
+			continue
+		}
+		if reason := invalidReason(&v.Job); reason != "" || v.ID != structs.JobID(r.Key) {
+			l.logUnreadable(TableJobs, r, "job", "job row is invalid")
 			continue
 		}
 		l.addJob(v.Job, r.Version)
@@ -227,7 +235,7 @@
 		}
 	}
 	policy := l.state.config.policyOf(&j.Job)
-	j.softDeadline = j.submittedAt + time.Duration(policy.Stretch*float64(j.criticalPath())) + policy.Slack
+	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
 	l.openJobs = append(l.openJobs, j)
 	if j.cancelled {
 		l.cancel(j)
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -44,6 +44,27 @@
 	writtenQueueLengths   map[string]int // queue lengths in the last write
 	queueLengthsWrittenAt Instant
 	pressuresWrittenAt    Instant
+	unreadable            map[tableKey]bool // rows whose unreadable values have been logged
+}
+
+// tableKey identifies a row.
+type tableKey struct {
+	table Table
+	key   string
+}
+
+// maxUnreadableRows bounds the rows that are remembered as logged.
+const maxUnreadableRows = 1000
+
+// logUnreadable logs a row that cannot be used, once for each row: its writer may
+// write it again and again.
+func (l *leaderState) logUnreadable(t Table, r Row, part, action string) {
+	key := tableKey{t, r.Key}
+	if l.unreadable[key] || len(l.unreadable) >= maxUnreadableRows {
+		return
+	}
+	l.unreadable[key] = true
+	l.state.logDecision(Decision{Part: part, Action: action, Subject: r.Key, Number: uint64(r.Version)})
 }
 
 // becomeLeader creates the leader's state after a takeover that was sent at sentAt,
@@ -53,7 +74,7 @@
 		state: s, epoch: epoch, leaderVersion: version, tookOverAt: s.now, leaseValidUntil: sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now,
 		loadingTables: map[Table]bool{TableJobs: true, TableProgress: true, TableCancels: true, TableWorkers: true},
 		jobs:          make(map[structs.JobID]*job), workers: make(map[structs.WorkerID]*worker),
-		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool), interference: newInterference(s.leadership.pressures),
+		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool), unreadable: make(map[tableKey]bool), interference: newInterference(s.leadership.pressures),
 	}
 	l.commits.init(version)
 	l.advice.steps = make(map[stepKey]*stepAdvice)
@@ -85,7 +106,7 @@
 		for _, row := range r.Rows {
 			p, ok := row.Value.(ProgressRow)
 			if !ok {
-				l.state.logDecision(Decision{Part: "job", Action: "progress cannot be read", Subject: row.Key, Number: uint64(row.Version)})
+				l.logUnreadable(TableProgress, row, "job", "progress cannot be read")
 				continue
 			}
 			l.loadedProgress[structs.JobID(row.Key)] = p.Progress
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -12,6 +12,11 @@
 	// maxTasks bounds the tasks of one job over all occurrences, so that one
 	// request cannot exhaust memory.
 	maxTasks = 20_000
+	// maxEstimate bounds the declared run time of a task, and maxRepeatMS the due
+	// times of a repeated job, in Unix milliseconds (the year 5138), so that
+	// deadlines do not overflow.
+	maxEstimate = 24 * time.Hour
+	maxRepeatMS = 100_000_000_000_000
 	// answerReserve is the part of a caller's timeout reserved for the answer to arrive.
 	answerReserve = 150 * time.Millisecond
 	// defaultRequestTimeout applies to callers that do not send a timeout.
@@ -305,8 +310,11 @@
 		if step.Count <= 0 {
 			return "a step has no tasks"
 		}
-		if step.Request.MilliCores < 0 || step.Request.MemoryMB < 0 || step.Request.Accelerators < 0 {
-			return "a step requests less than nothing"
+		if !step.Request.Valid() {
+			return "a step requests less than nothing or more than any worker has"
+		}
+		if step.PerWorker < 0 || step.Estimate < 0 || step.Estimate > maxEstimate {
+			return "a limit or an estimate of a step is out of range"
 		}
 		for _, a := range step.After {
 			if a < 0 || a >= i {
@@ -318,9 +326,16 @@
 			return "the job has too many tasks"
 		}
 	}
-	if j.Repeat != nil && (j.Repeat.Count < 1 || j.Repeat.EveryMS < 0 || tasks > maxTasks/j.Repeat.Count) {
+	r := j.Repeat
+	if r == nil {
+		return ""
+	}
+	if r.Count < 1 || tasks > maxTasks/r.Count {
 		return "the job repeats too often"
 	}
+	if r.FirstMS < 0 || r.FirstMS > maxRepeatMS || r.EveryMS < 0 || r.EveryMS > maxRepeatMS/maxTasks {
+		return "the times of the job are out of range"
+	}
 	return ""
 }
 
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -21,6 +21,10 @@
 	worthlessFactor = 3
 )
 
+// maxDueWait is the longest wait for an occurrence that is not due; the pass after it
+// waits again.
+const maxDueWait = time.Hour
+
 // scheduleState holds when the next scheduling pass is due.
 type scheduleState struct {
 	passRequested    bool
@@ -160,7 +164,7 @@
 	if wait <= 0 {
 		return true
 	}
-	l.schedule.requestPassAt(l.state.now + time.Duration(wait)*time.Millisecond)
+	l.schedule.requestPassAt(l.state.now + time.Duration(min(wait, maxDueWait.Milliseconds()))*time.Millisecond)
 	return false
 }
 
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -74,7 +74,7 @@
 			if w := l.workers[id]; w != nil {
 				w.listed = false
 			}
-			l.state.logDecision(Decision{Part: "worker", Action: "entry cannot be read", Subject: r.Key, Number: uint64(r.Version)})
+			l.logUnreadable(TableWorkers, r, "worker", "entry cannot be read")
 		default:
 			l.applyEntry(id, v.WorkerEntry)
 		}
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -116,6 +116,9 @@
 	JobCancelled JobState = "cancelled"
 )
 
+// Valid reports whether the state is one of those above.
+func (s JobState) Valid() bool { return s == JobQueued || s == JobRunning || s.Final() }
+
 // Final reports whether the state never changes again.
 func (s JobState) Final() bool { return s == JobCompleted || s == JobFailed || s == JobCancelled }
 
--- a/core/structs/resources.go
+++ b/core/structs/resources.go
@@ -21,3 +21,13 @@
 func (r Resources) Fits(o Resources) bool {
 	return r.MilliCores <= o.MilliCores && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
 }
+
+// maxAmount bounds each component of an amount of resources, so that sums over all
+// tasks and workers of a deployment do not overflow.
+const maxAmount = 1 << 40
+
+// Valid reports whether no component is negative or beyond maxAmount.
+func (r Resources) Valid() bool {
+	return r.MilliCores >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 &&
+		r.MilliCores <= maxAmount && r.MemoryMB <= maxAmount && r.Accelerators <= maxAmount
+}
