loop: read the clock once for the events that have arrived

Cause: the control loop of a host on the platform read CLOCK_BOOTTIME, a system call, twice for each event.

Change: up to 32 events that have arrived are applied with one reading, taken after the last of them arrived, so that no event is taken for older than it is. The timer is set from that reading.

--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -27,12 +27,18 @@
 	TimerEvent() B
 }
 
+// maxBatch is the number of queued events that are applied with one reading of the
+// clock, which is a system call on hosts of the platform.
+const maxBatch = 32
+
 // Loop applies events to one machine. Create it with New or NewWithClock.
 type Loop[B, F any] struct {
 	machine      Machine[B, F]
 	execute      func(F) // starts an effect; must not block
 	queue        chan B
-	tryPostLimit int // queue length from which TryPost refuses events
+	batch        []B           // events that are applied next
+	now          time.Duration // time of the last events
+	tryPostLimit int           // queue length from which TryPost refuses events
 	clock        func() time.Duration
 	done         chan struct{}
 }
@@ -92,9 +98,23 @@
 		case <-ctx.Done():
 			return
 		case body := <-l.queue:
-			l.step(body)
+			l.fillBatch(body)
 		case <-timer.C:
-			l.step(l.machine.TimerEvent())
+			l.batch = append(l.batch[:0], l.machine.TimerEvent())
+		}
+		l.applyBatch()
+	}
+}
+
+// fillBatch collects the events that have arrived, beginning with first.
+func (l *Loop[B, F]) fillBatch(first B) {
+	l.batch = append(l.batch[:0], first)
+	for len(l.batch) < maxBatch {
+		select {
+		case body := <-l.queue:
+			l.batch = append(l.batch, body)
+		default:
+			return
 		}
 	}
 }
@@ -107,11 +127,19 @@
 		timer.Reset(time.Hour)
 		return
 	}
-	timer.Reset(max(0, at-l.clock()))
+	timer.Reset(max(0, at-l.now))
 }
 
-func (l *Loop[B, F]) step(body B) {
-	for _, f := range l.machine.Step(l.clock(), time.Now().UnixMilli(), body) {
-		l.execute(f)
+// applyBatch applies the events of a batch. The clock is read after the last of them
+// has arrived: the machine must not take the time of an event for earlier than it is.
+func (l *Loop[B, F]) applyBatch() {
+	l.now = l.clock()
+	wallMS := time.Now().UnixMilli()
+	for i, body := range l.batch {
+		for _, f := range l.machine.Step(l.now, wallMS, body) {
+			l.execute(f)
+		}
+		var zero B
+		l.batch[i] = zero // the event can be collected
 	}
 }
