scheduler: order no more starts than can be sent, rate workers once a step

Cause: an overloaded leader ordered starts for all waiting tasks that had room. Each pass also sorted all open jobs, looked at every task of each, and rated all workers for each task.

Change: the limit of a start window follows the time to the answers; what is beyond it waits in the queue by rank. Starts have a pool of their own, so that stops and throttling do not wait for them. Passes look only at jobs with waiting tasks, and rate the workers once for the tasks of a step.

--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -26,6 +26,8 @@
 	tasks              []task
 	remainingByStep    [][]int // number of tasks that are not done, by occurrence and step
 	remainingTasks     int     // number of tasks that are not done
+	waitingByStep      [][]int // number of tasks that are not done and have no run, by occurrence and step
+	waitingTasks       int     // number of tasks that are not done and have no run
 	activeRuns         int     // number of runs that occupy workers
 	lastRunEndedAt     Instant // when the last run ended
 
@@ -59,15 +61,39 @@
 	n := j.Occurrences()
 	out.tasks = make([]task, n*out.tasksPerOccurrence)
 	out.remainingByStep = make([][]int, n)
+	out.waitingByStep = make([][]int, n)
 	for k := range n {
 		for _, step := range j.Steps {
 			out.remainingByStep[k] = append(out.remainingByStep[k], step.Count)
+			out.waitingByStep[k] = append(out.waitingByStep[k], step.Count)
 		}
 	}
 	out.remainingTasks = n * out.tasksPerOccurrence
+	out.waitingTasks = out.remainingTasks
 	return out
 }
 
+// addWaiting changes the number of tasks of a step that wait for a run.
+func (j *job) addWaiting(ref structs.TaskRef, change int) {
+	j.waitingByStep[ref.Occurrence][ref.Step] += change
+	j.waitingTasks += change
+}
+
+// setRun sets the current run of a task; nil: it has none.
+func (j *job) setRun(ref structs.TaskRef, r *run) {
+	n, _ := j.taskNumber(ref)
+	t := &j.tasks[n]
+	if !j.IsDone(n) {
+		switch {
+		case t.run == nil && r != nil:
+			j.addWaiting(ref, -1)
+		case t.run != nil && r == nil:
+			j.addWaiting(ref, 1)
+		}
+	}
+	t.run = r
+}
+
 // taskNumber returns the number of a task over all occurrences, or false if the
 // job has no such task.
 func (j *job) taskNumber(t structs.TaskRef) (int, bool) {
@@ -148,9 +174,11 @@
 	for k := range j.remainingByStep {
 		for step := range j.Steps {
 			for i := range j.Steps[step].Count {
-				if n, _ := j.taskNumber(j.taskRef(k, step, i)); p.IsDone(n) {
+				ref := j.taskRef(k, step, i)
+				if n, _ := j.taskNumber(ref); p.IsDone(n) {
 					j.remainingByStep[k][step]--
 					j.remainingTasks--
+					j.addWaiting(ref, -1)
 				}
 			}
 		}
@@ -298,6 +326,9 @@
 	if !ok || j.IsDone(n) || j.State.Final() {
 		return
 	}
+	if j.tasks[n].run == nil {
+		j.addWaiting(ref, -1)
+	}
 	j.SetDone(n)
 	j.remainingByStep[ref.Occurrence][ref.Step]--
 	j.remainingTasks--
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -40,6 +40,7 @@
 	commits               commitState
 	interference          *interferenceModel
 	schedule              scheduleState
+	starts                startWindow
 	advice                adviceState
 	writtenQueueLengths   map[string]int // queue lengths in the last write
 	queueLengthsWrittenAt Instant
@@ -77,6 +78,7 @@
 		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool), unreadable: make(map[tableKey]bool), interference: newInterference(s.leadership.pressures),
 	}
 	l.commits.init(version)
+	l.starts.init()
 	l.advice.steps = make(map[stepKey]*stepAdvice)
 	s.leader = l
 	for id, address := range s.leadership.usedWorkers.Workers {
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -111,35 +111,7 @@
 // pick returns the best worker for a task, or nil. Workers in the task's
 // avoidWorkers are used only if there is no other.
 func (l *leaderState) pick(j *job, ref structs.TaskRef, t *task) *worker {
-	step := &j.Steps[ref.Step]
-	policy := l.state.config.policyOf(&j.Job)
-	image := l.interference.imageIDOf(step.Image)
-	var best, fallback *worker
-	var bestScore, fallbackScore float64
-	for _, id := range l.workerIDs {
-		w := l.workers[id]
-		if !l.filter(w, j, step, policy) || !w.withinStepLimit(ref, step) {
-			continue
-		}
-		if _, allowed := l.ticketFor(w, stepKeyOf(ref), policy); !allowed {
-			continue
-		}
-		l.schedule.scoredWorkers++
-		score, ok := l.score(w, j, step, image)
-		switch {
-		case !ok:
-		case slices.Contains(t.avoidWorkers, id):
-			if fallback == nil || score > fallbackScore {
-				fallback, fallbackScore = w, score
-			}
-		case best == nil || score > bestScore:
-			best, bestScore = w, score
-		}
-	}
-	if best == nil {
-		return fallback
-	}
-	return best
+	return l.newRanking(j, ref.Occurrence, ref.Step).best(t.avoidWorkers)
 }
 
 // pickGang returns a worker for each member of a gang, or nil. The workers are on
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -29,6 +29,7 @@
 
 	phase           phase
 	startSentAt     Instant
+	startCounted    bool    // the start counts as outstanding in the leader's start window
 	confirmedAt     Instant // when the worker confirmed the start; 0: not confirmed
 	stopRequestedAt Instant // 0: no stop requested
 	stopSentAt      Instant // last stop command
@@ -89,8 +90,10 @@
 		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
 		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n],
 	}
-	t.run, t.lastRun = r, max(t.lastRun, id)
+	j.setRun(ref, r)
+	t.lastRun = max(t.lastRun, id)
 	w.addRun(r)
+	l.starts.sent(r, l.state.now)
 	leaseEnd := w.newLeaseEnd(l.state.now, l.state.bounds)
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
@@ -112,6 +115,9 @@
 
 func (l *leaderState) startAnswered(r *run, o CommandDone) {
 	w := r.worker
+	if l.starts.answered(r, o, l.state.now) {
+		l.schedule.requestPass()
+	}
 	if w.runs[r.key()] != r {
 		return // the worker's lists or its loss have settled the run already
 	}
@@ -230,7 +236,7 @@
 func (l *leaderState) discardRun(r *run) {
 	r.worker.removeRun(r)
 	if t := r.job.taskAt(r.ref); t.run == r {
-		t.run = nil
+		r.job.setRun(r.ref, nil)
 		t.runRemovedAt = l.state.now
 	}
 }
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -80,20 +80,33 @@
 // runPass starts all tasks that may start and can be placed, in order of rank.
 func (l *leaderState) runPass() {
 	l.applyUnmatchedCancels()
-	jobs := slices.Clone(l.openJobs)
 	now := l.state.now
-	slices.SortStableFunc(jobs, func(a, b *job) int { return l.compareRank(a, b, now) })
+	l.starts.expire(now)
 	unplaceable := make(map[demand]bool) // demands that no worker can meet in this pass
-	for _, j := range jobs {
-		if j.schedulable() {
-			l.placeJob(j, unplaceable)
+	for _, j := range l.waitingJobs(now) {
+		if l.starts.full() {
+			l.schedule.requestPassAt(l.starts.nextExpiry())
+			return
 		}
+		l.placeJob(j, unplaceable)
 		if l.steppedDown {
 			return
 		}
 	}
 }
 
+// waitingJobs returns the jobs with tasks that wait for a run, in order of rank.
+func (l *leaderState) waitingJobs(now Instant) []*job {
+	var jobs []*job
+	for _, j := range l.openJobs {
+		if j.waitingTasks > 0 && j.schedulable() {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *job) int { return l.compareRank(a, b, now) })
+	return jobs
+}
+
 // applyUnmatchedCancels cancels jobs whose cancellation was read before their row.
 func (l *leaderState) applyUnmatchedCancels() {
 	c := &l.schedule
@@ -147,7 +160,7 @@
 			continue
 		}
 		for step := range j.Steps {
-			if j.remainingByStep[occurrence][step] > 0 && j.stepReady(occurrence, step) {
+			if j.waitingByStep[occurrence][step] > 0 && j.stepReady(occurrence, step) {
 				l.placeStep(j, occurrence, step, unplaceable)
 			}
 		}
@@ -188,14 +201,18 @@
 	if unplaceable[need] {
 		return
 	}
+	ranking := l.newRanking(j, occurrence, step)
 	for index := range j.Steps[step].Count {
+		if l.starts.full() {
+			return
+		}
 		ref := j.taskRef(occurrence, step, index)
 		n, _ := j.taskNumber(ref)
 		t := &j.tasks[n]
 		if j.IsDone(n) || t.run != nil || !l.startable(j, t) {
 			continue
 		}
-		w := l.pick(j, ref, t)
+		w := ranking.best(t.avoidWorkers)
 		if w == nil {
 			if l.state.config.policyOf(&j.Job).Advice != nil {
 				l.askAdvice(j, stepKeyOf(ref))
@@ -209,6 +226,7 @@
 			return
 		}
 		l.startRun(j, ref, w, t.lastRun+1)
+		ranking.update(w)
 	}
 }
 
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -28,6 +28,7 @@
 	adviceAllowed    map[structs.WorkerID]bool // workers that the advice service allows
 	adviceInFlight   bool                      // an advice request is being answered
 	adviceRequests   int
+	startsNotSent    int                               // starts that timed out in a host's send queue
 	decisions        []string                          // of all hosts, in order
 	checkpointedWork map[structs.TaskRef]time.Duration // work saved by the last checkpoint of each task
 }
@@ -133,6 +134,8 @@
 	timerSeq    uint64
 	incarnation int
 	processors  float64
+	startTime   time.Duration // that the host takes to send one start; later ones wait
+	sendsUntil  time.Duration // when all starts so far have been sent
 }
 
 func (sim *simulation) addHost(name string) *fakeHost { return sim.addHostWith(name, 1) }
@@ -217,9 +220,7 @@
 	case SyncWorker:
 		h.sendCommand(e.WorkerCommand, WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) { f.syncLists(h, e) })
 	case StartTask:
-		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
-			f.perform(h, e.ID, func() CommandDone { return f.startTask(e, h) })
-		})
+		h.sendStart(e)
 	case StopTask:
 		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.stopTask(e) })
@@ -239,6 +240,32 @@
 	}
 }
 
+// sendStart sends a start once the earlier ones have been sent, unless that takes
+// longer than its timeout.
+func (h *fakeHost) sendStart(e StartTask) {
+	send := func() {
+		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
+			f.perform(h, e.ID, func() CommandDone { return f.startTask(e, h) })
+		})
+	}
+	if h.startTime == 0 {
+		send()
+		return
+	}
+	if h.sendsUntil > h.sim.now+e.Timeout {
+		h.sim.startsNotSent++
+		h.deliverAfter(e.Timeout, CommandDone{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		return
+	}
+	h.sendsUntil = max(h.sendsUntil, h.sim.now) + h.startTime
+	incarnation := h.incarnation
+	h.sim.after(h.sendsUntil-h.sim.now, func() {
+		if h.alive && h.incarnation == incarnation {
+			send()
+		}
+	})
+}
+
 // sendCommand calls perform with the worker of a command, or delivers unknown if the
 // worker cannot be reached.
 func (h *fakeHost) sendCommand(o WorkerCommand, unknown EventBody, perform func(*fakeWorker)) {
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -31,8 +31,10 @@
 	storeQueueSize     = 512  // calls to the store that wait; a full queue refuses callers
 	watchConcurrency   = 8    // one for each table that is watched
 	syncConcurrency    = 512  // workers that are synchronized at once
-	commandConcurrency = 128  // start, stop and throttle commands to workers at once
-	commandQueueSize   = 4096 // commands that wait
+	startConcurrency   = 128  // start commands to workers at once
+	startQueueSize     = 1024 // start commands that wait; the reducer orders no more at a time
+	commandConcurrency = 128  // stop and throttle commands to workers at once
+	commandQueueSize   = 4096 // stop and throttle commands that wait
 	storeConnections   = 64
 	workerConnections  = 6 // to each worker
 	clientIdleTimeout  = 30 * time.Second
@@ -44,6 +46,7 @@
 	storePool    = "store"
 	watchPool    = "watch"
 	syncPool     = "look"
+	startPool    = "start"
 	commandPool  = "order"
 	advicePool   = "advice"
 	syncStep     = "look"
@@ -83,6 +86,7 @@
 	pool(storePool, storeConcurrency, storeQueueSize)
 	pool(watchPool, watchConcurrency, watchConcurrency)
 	pool(syncPool, syncConcurrency, syncConcurrency)
+	pool(startPool, startConcurrency, startQueueSize)
 	pool(commandPool, commandConcurrency, commandQueueSize)
 	pool(advicePool, 1, 1)
 	client := func(perHost int) *platform.Client {
@@ -151,7 +155,7 @@
 	case scheduler.SyncWorker:
 		h.submitCommand(syncPool, syncStep, e.WorkerCommand, newEffectRequest(h.workers.Sync, e), scheduler.WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.StartTask:
-		h.submitCommand(commandPool, "start", e.WorkerCommand, newEffectRequest(h.workers.Start, e), scheduler.CommandDone{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		h.submitCommand(startPool, "start", e.WorkerCommand, newEffectRequest(h.workers.Start, e), scheduler.CommandDone{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.StopTask:
 		h.submitCommand(commandPool, "stop", e.WorkerCommand, newEffectRequest(h.workers.Stop, e), scheduler.CommandDone{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.ThrottleTask:
