scheduler: a pause of one worker does not hold up all starts

Cause: a pass that is due later (a task's retry delay, the pause of a worker that refused a start) set a timer, and no other pass ran before that timer fired, up to a second later.

Change: an earlier pass sets an earlier timer.

--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -28,7 +28,7 @@
 // scheduleState holds when the next scheduling pass is due.
 type scheduleState struct {
 	passRequested    bool
-	timerSet         bool
+	timerAt          Instant // time of the earliest timer that was set for a pass
 	lastPass         Instant
 	scoredWorkers    int             // in the last pass
 	wakeAt           Instant         // earliest time at which a delayed task may start; 0: none
@@ -53,28 +53,32 @@
 // schedulePass runs a pass if one is due, or sets a timer for it.
 func (l *leaderState) schedulePass() {
 	c := &l.schedule
-	if !l.isLoaded() || !l.leaseValid() || c.timerSet {
+	if !l.isLoaded() || !l.leaseValid() {
 		return
 	}
 	now := l.state.now
 	if c.wakeAt > 0 && c.wakeAt <= now {
 		c.passRequested, c.wakeAt = true, 0
 	}
-	var wait time.Duration
+	var at Instant
 	switch {
 	case c.passRequested && now >= c.lastPass+c.passInterval():
 		c.passRequested, c.lastPass, c.scoredWorkers = false, now, 0
 		l.runPass()
 		return
 	case c.passRequested:
-		wait = c.lastPass + c.passInterval() - now
+		at = c.lastPass + c.passInterval()
 	case c.wakeAt > 0:
-		wait = min(c.wakeAt-now, time.Second)
+		at = c.wakeAt
 	default:
 		return
 	}
-	c.timerSet = true
-	l.after(wait, func() { c.timerSet = false })
+	// A timer for a later time does not hold up a pass that is requested meanwhile.
+	if c.timerAt > now && c.timerAt <= at {
+		return
+	}
+	c.timerAt = at
+	l.after(at-now, func() {}) // the pass runs at the end of the event
 }
 
 // runPass starts all tasks that may start and can be placed, in order of rank.
