--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -13,11 +13,8 @@
 	commitDelay = 25 * time.Millisecond
 	// maxCommitRows keeps the rows of one commit below the store's limit of 100 entries.
 	maxCommitRows = 70
-	// queueLengthsInterval separates writes of the lengths of queues.
-	queueLengthsInterval = 400 * time.Millisecond
-	// queueLengthsRefresh is the age at which unchanged lengths are written again,
-	// so that hosts can tell them from those of a lost leader.
-	queueLengthsRefresh = time.Second
+	// maxRemovals bounds the removals in one commit.
+	maxRemovals = 10
 	// pressuresInterval separates writes of the learned pressures.
 	pressuresInterval = 2 * time.Second
 )
@@ -37,7 +34,8 @@
 	nextBatch          uint64                 // number of the commit that will contain the current changes
 	durableBatch       uint64                 // all commits up to this one are stored
 	usedWorkersChanged bool                   // the list of used workers has to be written
-	expiredJobs        []structs.JobID        // jobs whose job row was removed and whose other rows remain
+	removedProgress    []structs.JobID        // jobs that are gone and whose progress is to be removed
+	plan               *ShardPlanRow          // plan of the shards that has to be written; nil: none
 }
 
 func (c *commitState) init(version structs.Version) {
@@ -52,7 +50,7 @@
 // at once, since starts wait for it.
 func (l *leaderState) scheduleFlush() {
 	c := &l.commits
-	if c.inFlight || len(c.dirtyJobs) == 0 && !c.usedWorkersChanged {
+	if c.inFlight || len(c.dirtyJobs) == 0 && !c.usedWorkersChanged && c.plan == nil {
 		return
 	}
 	if len(c.newClaims) > 0 {
@@ -85,7 +83,7 @@
 		if j == nil {
 			continue
 		}
-		writes = append(writes, Write{TableProgress, string(id), ProgressRow{j.snapshot()}})
+		writes = append(writes, Write{TableProgress, l.shard.partition(), string(id), ProgressRow{j.snapshot()}})
 		if j.ClaimEpoch == l.epoch && !j.claimStored {
 			claims = append(claims, j)
 		}
@@ -93,24 +91,28 @@
 	// Ends of runs recorded from now on belong to the next commit. Those recorded
 	// so far become durable with this one only if all changed jobs fit into it.
 	partial := len(c.dirtyJobs) > 0
-	if w, due := l.queueLengthsWrite(); due {
-		writes = append(writes, w)
-	}
 	if l.isLoaded() && l.state.now-l.pressuresWrittenAt >= pressuresInterval {
 		l.pressuresWrittenAt = l.state.now
 		if row := l.interference.row(); len(row.Pairs) > 0 {
-			writes = append(writes, Write{TableControl, KeyPressures, row})
+			writes = append(writes, Write{TableControl, l.shard.partition(), KeyPressures, row})
 		}
 	}
 	var used UsedWorkersRow
 	if c.usedWorkersChanged && l.isLoaded() {
 		c.usedWorkersChanged = false
 		used = l.usedWorkers()
-		writes = append(writes, Write{TableControl, KeyUsedWorkers, used})
+		writes = append(writes, Write{TableControl, l.shard.partition(), KeyUsedWorkers, used})
+	}
+	plan := c.plan
+	if plan != nil {
+		c.plan = nil
+		writes = append(writes, Write{TableShards, l.shard.partition(), KeyPlan, *plan})
+	}
+	removed := c.nextRemovals()
+	for _, id := range removed {
+		writes = append(writes, Write{TableProgress, l.shard.partition(), string(id), nil})
 	}
-	expired, removals := c.expiredRemovals()
-	writes = append(writes, removals...)
-	l.sendCommit(commitContent{writes: writes, progressOf: ids, claims: claims, partial: partial, usedWorkers: used, expiredJobs: expired})
+	l.sendCommit(commitContent{writes: writes, progressOf: ids, claims: claims, partial: partial, usedWorkers: used, plan: plan, removed: removed})
 }
 
 // nextJobs returns the jobs whose progress the next commit contains: newly claimed
@@ -133,7 +135,8 @@
 	claims      []*job          // jobs that it claims
 	partial     bool            // further changes remain for the next commit
 	usedWorkers UsedWorkersRow  // list of used workers; nil map: not included
-	expiredJobs []structs.JobID // jobs whose last rows it removes
+	plan        *ShardPlanRow   // plan of the shards; nil: not included
+	removed     []structs.JobID // jobs whose progress it removes
 }
 
 // usedWorkers returns the workers on which runs may be started or may still exist.
@@ -162,10 +165,11 @@
 	if c.releaseReason != "" {
 		lease.ExpiresMS = 0
 	}
-	writes := append(slices.Clone(content.writes), Write{TableControl, KeyLease, lease})
+	partition := l.shard.partition()
+	writes := append(slices.Clone(content.writes), Write{TableControl, partition, KeyLease, lease})
 	releaseReason := c.releaseReason
 	l.state.commit(Commit{
-		Conditions: []Condition{{TableControl, KeyLeader, l.leaderVersion}, {TableControl, KeyLease, c.leaseVersion}},
+		Conditions: []Condition{{TableControl, partition, KeyLeader, l.leaderVersion}, {TableControl, partition, KeyLease, c.leaseVersion}},
 		Writes:     writes,
 	}, func(r Committed) {
 		if l.steppedDown {
@@ -192,7 +196,10 @@
 				c.newClaims[j.ID] = true
 			}
 			c.usedWorkersChanged = c.usedWorkersChanged || content.usedWorkers.Workers != nil
-			c.expiredJobs = append(c.expiredJobs, content.expiredJobs...)
+			c.removedProgress = append(c.removedProgress, content.removed...)
+			if c.plan == nil {
+				c.plan = content.plan
+			}
 			c.nextBatch = batch // nothing of it is durable yet
 			l.after(storeRetryDelay, l.flush)
 			return
@@ -223,6 +230,7 @@
 	c := &l.commits
 	if releaseReason != "" {
 		l.stepDown(releaseReason)
+		l.publishRelease()
 		return
 	}
 	if c.releaseReason == "" {
@@ -234,8 +242,8 @@
 	if content.usedWorkers.Workers != nil {
 		l.usedWorkersStored(content.usedWorkers)
 	}
-	for _, id := range content.expiredJobs {
-		delete(l.jobs, id)
+	if content.plan != nil {
+		l.planStored(*content.plan)
 	}
 	for _, j := range content.claims {
 		j.claimStored = true
@@ -267,20 +275,15 @@
 	return l.storeClockMS + (l.state.now - l.storeClockAt).Milliseconds()
 }
 
-// queueLengthsWrite returns a write of the queue lengths if one is due.
-func (l *leaderState) queueLengthsWrite() (Write, bool) {
-	if !l.isLoaded() || l.state.now-l.queueLengthsWrittenAt < queueLengthsInterval {
-		return Write{}, false
-	}
-	lengths := make(map[string]int)
-	for _, j := range l.openJobs {
-		if !j.started && !j.cancelled && !j.State.Final() {
-			lengths[j.Queue]++
-		}
-	}
-	if l.writtenQueueLengths != nil && maps.Equal(lengths, l.writtenQueueLengths) && l.state.now-l.queueLengthsWrittenAt < queueLengthsRefresh {
-		return Write{}, false
-	}
-	l.writtenQueueLengths, l.queueLengthsWrittenAt = lengths, l.state.now
-	return Write{TableQueues, KeyQueueLengths, QueueLengthsRow{Jobs: lengths, AtMS: l.storeNow()}}, true
+// planStored puts a plan in force that this leader has stored.
+func (l *leaderState) planStored(plan ShardPlanRow) {
+	l.state.shards.plan, l.state.shards.planVersion = plan, l.commits.leaseVersion
+	l.state.planChanged()
+}
+
+// nextRemovals returns the jobs whose progress the next commit removes.
+func (c *commitState) nextRemovals() []structs.JobID {
+	ids := c.removedProgress[:min(len(c.removedProgress), maxRemovals)]
+	c.removedProgress = c.removedProgress[len(ids):]
+	return ids
 }
--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -46,8 +46,8 @@
 		s.config.byName[c.Queues[i].Name] = &c.Queues[i]
 	}
 	s.logDecision(Decision{Part: "config", Action: "configuration in force", Subject: s.self.Host, Number: c.Number})
-	if s.leader != nil {
-		s.leader.configChanged()
+	for _, l := range s.leaders {
+		l.configChanged()
 	}
 }
 
--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -7,12 +7,18 @@
 // and draws no random numbers: time, seeds and fresh identifiers arrive in
 // events. The same events give the same effects.
 //
-// Every host accepts jobs by committing them to the platform's store. One host,
-// the leader, schedules all of them: it holds a lease in the store, sends its
-// epoch with each command to a worker, and acknowledges the end of a run only
-// once the store has recorded it. The workers' own lists are the authority on
-// where a task runs; a new leader reads them before it starts anything that a
-// former leader may have started.
+// Every host accepts jobs by committing them to the platform's store. Workers and
+// jobs are divided into shards. One host, the leader of a shard, schedules its
+// jobs: it holds a lease in the store, sends its epoch with each command to a
+// worker, and acknowledges the end of a run only once the store has recorded it.
+// The workers' own lists are the authority on where a task runs; a new leader
+// reads them before it starts anything that a former leader may have started.
+//
+// The files by subject: the division of workers into shards in plan.go, the loads
+// of shards in shards.go, the shard of a new job in route.go, moves of jobs in
+// moving.go, leadership in leadership.go and leader.go; the queue of one shard in
+// schedule.go, its limit in startwindow.go, and placement in ranking.go (order)
+// and place.go (filter and score).
 //
 // Two kinds of tasks share a worker. Serving tasks have a target for their tail
 // latency. Best-effort tasks use the CPU that other tasks leave idle; they are
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -12,16 +12,18 @@
 
 // Condition requires a version of a row; 0 requires that the row is absent.
 type Condition struct {
-	Table   Table
-	Key     string
-	Version structs.Version
+	Table     Table
+	Partition Partition
+	Key       string
+	Version   structs.Version
 }
 
 // Write sets or removes a row.
 type Write struct {
-	Table Table
-	Key   string
-	Value RowValue // nil removes the row
+	Table     Table
+	Partition Partition
+	Key       string
+	Value     RowValue // nil removes the row
 }
 
 // Commit writes rows in one transaction if all conditions hold.
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -32,7 +32,10 @@
 	Instance   structs.InstanceID // of this process; never used twice
 	Seed       uint64             // for jitter
 	Processors float64            // CPU cores available to the host; may be a fraction
-	Bounds     Bounds
+	// ShardWorkers is the number of workers for which a further shard is added; 0:
+	// there is one shard.
+	ShardWorkers int
+	Bounds       Bounds
 }
 
 // Bounds are the deployment's limits that the reducer observes.
@@ -77,10 +80,11 @@
 
 // Row is a row of the platform's store.
 type Row struct {
-	Key     string
-	Version structs.Version
-	Removed bool
-	Value   RowValue // nil when removed or when the value cannot be read
+	Partition Partition
+	Key       string
+	Version   structs.Version
+	Removed   bool
+	Value     RowValue // nil when removed or when the value cannot be read
 }
 
 // RowsRead is the outcome of a ReadRows or a WatchRows.
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -38,10 +38,10 @@
 	}
 }
 
-// expire removes the job row; the next commits remove the other rows of the job.
+// expire removes the job row and then the other rows of the job.
 func (l *leaderState) expire(j *job) {
 	j.expiring = true
-	l.state.commit(Commit{Writes: []Write{{TableJobs, string(j.ID), nil}}}, func(c Committed) {
+	l.state.commit(Commit{Writes: []Write{{TableJobs, jobPartition(j.ID), string(j.ID), nil}}}, func(c Committed) {
 		if l.steppedDown {
 			return
 		}
@@ -49,17 +49,19 @@
 			j.expiring = false // retried after expireInterval
 			return
 		}
-		l.commits.expiredJobs = append(l.commits.expiredJobs, j.ID)
+		delete(l.jobs, j.ID)
+		l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
+		if l.cancelled[j.ID] {
+			l.removeCancel(j.ID)
+		}
 	})
 }
 
-// expiredRemovals returns writes that remove the remaining rows of expired jobs.
-func (c *commitState) expiredRemovals() ([]structs.JobID, []Write) {
-	ids := c.expiredJobs[:min(len(c.expiredJobs), maxExpireBatch/2)]
-	c.expiredJobs = c.expiredJobs[len(ids):]
-	var writes []Write
-	for _, id := range ids {
-		writes = append(writes, Write{TableProgress, string(id), nil}, Write{TableCancels, string(id), nil})
-	}
-	return ids, writes
+// removeCancel removes the cancellation of a job that is gone.
+func (l *leaderState) removeCancel(id structs.JobID) {
+	l.state.commit(Commit{Writes: []Write{{Table: TableCancels, Key: string(id)}}}, func(c Committed) {
+		if c.Outcome != structs.OutcomeDone {
+			l.state.logDecision(Decision{Part: "job", Action: "cancellation was not removed", Subject: string(id), Reason: outcomeName(c.Outcome)})
+		}
+	})
 }
--- a/core/scheduler/fakestore_test.go
+++ b/core/scheduler/fakestore_test.go
@@ -13,7 +13,7 @@
 type fakeStore struct {
 	sim            *simulation
 	version        structs.Version
-	rows           map[Table]map[string]Row
+	rows           map[fakeRowID]Row
 	history        []TableRow
 	discardedUntil structs.Version // versions up to this one have been discarded from the history
 	watches        []*fakeWatch
@@ -24,6 +24,13 @@
 	commits       int
 }
 
+// fakeRowID identifies a row.
+type fakeRowID struct {
+	table     Table
+	partition Partition
+	key       string
+}
+
 // The outcomes of a commit.
 const (
 	commitAnswered   = iota
@@ -38,29 +45,39 @@
 }
 
 func newFakeStore(sim *simulation) *fakeStore {
-	return &fakeStore{sim: sim, rows: make(map[Table]map[string]Row), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
+	return &fakeStore{sim: sim, rows: make(map[fakeRowID]Row), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
 }
 
-func (s *fakeStore) get(t Table, key string) RowValue { return s.rows[t][key].Value }
+// get returns the value that was written last to a key of a table, in any partition.
+func (s *fakeStore) get(t Table, key string) RowValue {
+	var last Row
+	for id, row := range s.rows {
+		if id.table == t && id.key == key && row.Version > last.Version {
+			last = row
+		}
+	}
+	return last.Value
+}
 
 // set writes a row on behalf of a program other than the hosts.
 func (s *fakeStore) set(t Table, key string, v RowValue) {
 	s.version++
-	s.put(t, key, v)
+	partition := Partition(0)
+	if t == TableJobs {
+		partition = jobPartition(structs.JobID(key))
+	}
+	s.put(fakeRowID{t, partition, key}, v)
 	s.notify()
 }
 
-func (s *fakeStore) put(t Table, key string, v RowValue) {
-	if s.rows[t] == nil {
-		s.rows[t] = make(map[string]Row)
-	}
-	r := Row{Key: key, Version: s.version, Value: v, Removed: v == nil}
+func (s *fakeStore) put(id fakeRowID, v RowValue) {
+	r := Row{Partition: id.partition, Key: id.key, Version: s.version, Value: v, Removed: v == nil}
 	if v == nil {
-		delete(s.rows[t], key)
+		delete(s.rows, id)
 	} else {
-		s.rows[t][key] = r
+		s.rows[id] = r
 	}
-	s.history = append(s.history, TableRow{t, r})
+	s.history = append(s.history, TableRow{id.table, r})
 }
 
 func (s *fakeStore) reachable(h *fakeHost) bool { return !s.down && !h.storeCut }
@@ -93,10 +110,10 @@
 func (s *fakeStore) checkPartition(e Commit) {
 	parts := make(map[Partition]bool)
 	for _, c := range e.Conditions {
-		parts[PartitionOf(c.Table, c.Key)] = true
+		parts[c.Partition] = true
 	}
 	for _, w := range e.Writes {
-		parts[PartitionOf(w.Table, w.Key)] = true
+		parts[w.Partition] = true
 	}
 	if len(parts) > 1 {
 		s.sim.t.Fatalf("a commit has rows of %d partitions, want 1", len(parts))
@@ -108,11 +125,11 @@
 	result := Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone, StoreMS: s.storeMS()}
 	s.checkPartition(e)
 	for _, c := range e.Conditions {
-		if s.rows[c.Table][c.Key].Version != c.Version {
+		if s.rows[fakeRowID{c.Table, c.Partition, c.Key}].Version != c.Version {
 			for _, c := range e.Conditions {
-				row, ok := s.rows[c.Table][c.Key]
+				row, ok := s.rows[fakeRowID{c.Table, c.Partition, c.Key}]
 				if !ok {
-					row = Row{Key: c.Key, Removed: true}
+					row = Row{Partition: c.Partition, Key: c.Key, Removed: true}
 				}
 				result.Conflicts = append(result.Conflicts, TableRow{c.Table, row})
 			}
@@ -121,7 +138,7 @@
 	}
 	s.version++
 	for _, w := range e.Writes {
-		s.put(w.Table, w.Key, w.Value)
+		s.put(fakeRowID{w.Table, w.Partition, w.Key}, w.Value)
 	}
 	s.notify()
 	result.Outcome, result.Version = structs.OutcomeDone, s.version
@@ -135,8 +152,8 @@
 	}
 	s.sim.after(storeDelay, func() {
 		result := RowsRead{Effect: e.ID, Outcome: structs.OutcomeDone, Version: s.version, StoreMS: s.storeMS()}
-		for key, row := range s.rows[e.Table] {
-			if PartitionOf(e.Table, key) == e.Partition && key >= e.From && (e.To == "" || key < e.To) {
+		for id, row := range s.rows {
+			if id.table == e.Table && id.partition == e.Partition && id.key >= e.From && (e.To == "" || id.key < e.To) {
 				result.Rows = append(result.Rows, row)
 			}
 		}
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	sim             *simulation
 	id              structs.WorkerID
 	address         string
+	rack            string
 	capacity        structs.Resources
 	alive           bool
 	disconnected    bool // commands do not reach it and answers are lost
@@ -64,9 +66,12 @@
 	return r.workBefore + (now-r.speedChangedAt)*time.Duration(r.speed)/fullSpeed
 }
 
+// workersPerRack is the number of workers of a rack.
+const workersPerRack = 2
+
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{
-		sim: sim, id: structs.WorkerID(id), address: "10.0.0.1:" + id,
+		sim: sim, id: structs.WorkerID(id), address: "10.0.0.1:" + id, rack: fmt.Sprintf("r%d", len(sim.workers)/workersPerRack),
 		capacity: structs.Resources{MilliCores: 8000, MemoryMB: 64000},
 		gauge:    func(*fakeRun) int64 { return 0 },
 	}
@@ -86,7 +91,7 @@
 
 // writeEntry writes the worker's entry into the list of workers.
 func (f *fakeWorker) writeEntry(draining bool) {
-	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: []string{"a", "r1"}, Incarnation: f.incarnation}
+	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: []string{"a", f.rack}, Rack: f.rack, Incarnation: f.incarnation}
 	if draining {
 		e.LeavesIn = 2 * time.Second
 	}
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -17,11 +17,11 @@
 // TestSchedulerInvariants guards against violations of the oracle's invariants and
 // accepted jobs that never end, when hosts are killed or frozen, the store is
 // unreachable or performs commits late, and workers crash, are disconnected or carry
-// out starts late.
+// out starts late. It runs with one shard and with two.
 func TestSchedulerInvariants(t *testing.T) {
 	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newSimulation(rt, 3, 4)
+		sim := newShardedSimulation(rt, 3, 4, rapid.SampledFrom([]int{0, 2}).Draw(rt, "workers of a shard"))
 		requests := make(map[RequestID]string)
 		defer func() {
 			if rt.Failed() {
@@ -60,14 +60,15 @@
 			case 0, 1, 2:
 				id := fmt.Sprintf("%016x", i+1)
 				work := time.Duration(rapid.IntRange(50, 4000).Draw(rt, "work")) * time.Millisecond
-				requests[sim.submit(h, id, singleStepJob(rapid.IntRange(1, 5).Draw(rt, "tasks"), work, 1000))] = id
+				requests[sim.submit(h, id, singleStepJob(rapid.IntRange(1, 5).Draw(rt, "tasks"), work, rapid.SampledFrom([]int64{1000, 6000}).Draw(rt, "processors")))] = id
 			case 3:
 				h.kill()
 				sim.after(500*time.Millisecond, h.start)
 			case 4:
 				if h.alive && !h.frozen {
 					h.frozen = true
-					sim.after(4*time.Second, h.thaw)
+					pause := time.Duration(rapid.IntRange(200, 4000).Draw(rt, "freeze")) * time.Millisecond
+					sim.after(pause, h.thaw)
 				}
 			case 5:
 				sim.store.down = !sim.store.down
--- a/core/scheduler/interference_test.go
+++ b/core/scheduler/interference_test.go
@@ -75,13 +75,13 @@
 func TestPressuresOutliveLeader(t *testing.T) {
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
-	learned := sim.leader().state.leader.interference
+	learned := sim.leader().state.leaderOf(0).interference
 	*learned.estimateFor(learned.imageIDOf("web"), learned.imageIDOf("noisy")) = pressure{value: 2, variance: 0.01}
 	sim.advance(pressuresInterval + time.Second)
 	sim.leader().kill()
 	sim.advance(5 * time.Second)
 	sim.waitForLeader()
-	learned = sim.leader().state.leader.interference
+	learned = sim.leader().state.leaderOf(0).interference
 	if got := learned.pressureOn(learned.imageIDOf("web"), learned.imageIDOf("noisy")); got != 2 {
 		t.Errorf("pressure at the new leader is %v, want 2", got)
 	}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -17,9 +17,12 @@
 	inherited      bool    // a former leader may have started its tasks
 	claimStored    bool    // the claim by this leader is stored, so that its tasks may start
 	admitted       bool    // its progress has been restored and it can be scheduled
-	cancelled      bool    // a caller requested its cancellation
-	started        bool    // a run of one of its tasks has been confirmed
-	softDeadline   Instant // time by which it should be done
+	admittedAt     Instant
+	rowVersion     structs.Version // of its job row
+	moveInFlight   bool            // the job row is being given to another shard
+	cancelled      bool            // a caller requested its cancellation
+	started        bool            // a run of one of its tasks has been confirmed
+	softDeadline   Instant         // time by which it should be done
 
 	stepOffsets        []int // number of the first task of each step in an occurrence
 	tasksPerOccurrence int   // number of tasks in one occurrence
@@ -138,7 +141,9 @@
 }
 
 // schedulable reports whether tasks of the job may be started.
-func (j *job) schedulable() bool { return j.admitted && !j.cancelled && !j.State.Final() }
+func (j *job) schedulable() bool {
+	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving
+}
 
 // snapshot returns the progress to be stored. The slices and maps are copies,
 // because the effect that carries them may be executed after later changes.
@@ -222,16 +227,27 @@
 			l.logUnreadable(TableJobs, r, "job", "job row is invalid")
 			continue
 		}
+		if r.Partition != jobPartition(v.ID) {
+			continue // a row of another program
+		}
 		l.addJob(v.Job, r.Version)
 	}
 }
 
 func (l *leaderState) addJob(row structs.Job, version structs.Version) {
-	if l.jobs[row.ID] != nil {
+	if j := l.jobs[row.ID]; j != nil {
+		if ShardID(row.Shard) != l.shard {
+			// Another shard has the job now. Its mark of the move is stored.
+			l.forgetMoved(j)
+		}
+		return
+	}
+	if ShardID(row.Shard) != l.shard {
 		return
 	}
 	j := newJob(row, l.state.now)
-	if j.beforeTakeover = version <= l.leaderVersion; j.beforeTakeover {
+	j.rowVersion, j.cancelled = version, l.cancelled[row.ID]
+	if j.beforeTakeover = version <= l.leaderVersion; j.beforeTakeover || len(row.MovedFrom) > 0 {
 		age := time.Duration(l.state.wall-row.SubmittedMS) * time.Millisecond
 		j.submittedAt -= min(max(age, 0), maxJobAge)
 	}
@@ -247,7 +263,7 @@
 	if j.admitted {
 		return
 	}
-	j.admitted = true
+	j.admitted, j.admittedAt = true, l.state.now
 	if p, ok := l.loadedProgress[j.ID]; ok {
 		j.restore(p)
 	}
@@ -265,6 +281,10 @@
 	policy := l.state.config.policyOf(&j.Job)
 	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
 	l.openJobs = append(l.openJobs, j)
+	if j.Moving {
+		l.continueMove(j)
+		return
+	}
 	if j.cancelled {
 		l.cancel(j)
 	}
@@ -277,18 +297,18 @@
 
 func (l *leaderState) applyCancelRows(rows []Row, _ bool) {
 	for _, r := range rows {
+		id := structs.JobID(r.Key)
 		if r.Removed {
+			delete(l.cancelled, id)
 			continue
 		}
-		j := l.jobs[structs.JobID(r.Key)]
+		l.cancelled[id] = true // the job row may be read later
+		j := l.jobs[id]
 		if j == nil {
-			// The job row has not been read yet.
-			l.schedule.unmatchedCancels = append(l.schedule.unmatchedCancels, structs.JobID(r.Key))
-			l.schedule.requestPass()
 			continue
 		}
 		j.cancelled = true
-		if j.admitted {
+		if j.admitted && !j.Moving {
 			l.cancel(j)
 		}
 	}
@@ -410,6 +430,10 @@
 
 // progressStored is called when a job's progress has been stored.
 func (l *leaderState) progressStored(j *job) {
+	if j.Moving {
+		l.continueMove(j)
+		return
+	}
 	if j.storedState != j.State && j.State.Final() {
 		l.state.logDecision(Decision{Part: "job", Action: "final state stored", Subject: string(j.ID), Reason: string(j.State), Age: l.state.now - j.finalAt})
 	}
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -8,11 +8,12 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-// leaderState is the additional state of the leader. It is built from the store
-// and the workers' lists when the host takes over, and dropped when the host
-// steps down.
+// leaderState is the additional state of the leader of one shard. It is built from
+// the store and the workers' lists when the host takes over, and dropped when the
+// host steps down.
 type leaderState struct {
 	state           *State
+	shard           ShardID
 	epoch           structs.Epoch
 	tookOverAt      Instant         // when this host became the leader
 	leaderVersion   structs.Version // of the leader row
@@ -26,9 +27,11 @@
 	loadedAt      Instant        // when all tables had been read; 0: not yet
 
 	jobs      map[structs.JobID]*job
-	openJobs  []*job // admitted jobs that are not final, in order of admission
-	workers   map[structs.WorkerID]*worker
-	workerIDs []structs.WorkerID // of workers, sorted
+	openJobs  []*job                                   // admitted jobs that are not final, in order of admission
+	entries   map[structs.WorkerID]structs.WorkerEntry // the platform's list, with the workers of all shards
+	workers   map[structs.WorkerID]*worker             // of this shard
+	workerIDs []structs.WorkerID                       // of workers, sorted
+	cancelled map[structs.JobID]bool                   // cancellations of jobs of all shards
 
 	// unreconciled holds the workers that former leaders used and whose runs are
 	// neither known nor certainly over. Tasks that a former leader may have
@@ -37,15 +40,14 @@
 
 	loadedProgress map[structs.JobID]structs.Progress // progress read from the store, until jobs are admitted
 
-	commits               commitState
-	interference          *interferenceModel
-	schedule              scheduleState
-	starts                startWindow
-	advice                adviceState
-	writtenQueueLengths   map[string]int // queue lengths in the last write
-	queueLengthsWrittenAt Instant
-	pressuresWrittenAt    Instant
-	unreadable            map[tableKey]bool // rows whose unreadable values have been logged
+	commits            commitState
+	interference       *interferenceModel
+	schedule           scheduleState
+	starts             startWindow
+	advice             adviceState
+	loadInFlight       bool // a write of the load is in flight
+	pressuresWrittenAt Instant
+	unreadable         map[tableKey]bool // rows whose unreadable values have been logged
 }
 
 // tableKey identifies a row.
@@ -70,34 +72,47 @@
 
 // becomeLeader creates the leader's state after a takeover that was sent at sentAt,
 // and starts to read the tables.
-func becomeLeader(s *State, epoch structs.Epoch, version structs.Version, sentAt Instant, storeMS int64) {
+func becomeLeader(s *State, of *leadership, attempt takeover, storeMS int64) {
 	l := &leaderState{
-		state: s, epoch: epoch, leaderVersion: version, tookOverAt: s.now, leaseValidUntil: sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now,
-		loadingTables: map[Table]bool{TableJobs: true, TableProgress: true, TableCancels: true, TableWorkers: true},
-		jobs:          make(map[structs.JobID]*job), workers: make(map[structs.WorkerID]*worker),
-		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool), unreadable: make(map[tableKey]bool), interference: newInterference(s.leadership.pressures),
+		state: s, shard: of.shard, epoch: attempt.epoch, leaderVersion: of.leaderVersion, tookOverAt: s.now,
+		leaseValidUntil: attempt.sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now,
+		loadingTables: make(map[Table]bool), jobs: make(map[structs.JobID]*job), entries: make(map[structs.WorkerID]structs.WorkerEntry),
+		workers: make(map[structs.WorkerID]*worker), cancelled: make(map[structs.JobID]bool),
+		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool),
+		unreadable: make(map[tableKey]bool), interference: newInterference(of.pressures),
 	}
-	l.commits.init(version)
+	l.commits.init(of.leaderVersion)
 	l.starts.init()
 	l.advice.steps = make(map[stepKey]*stepAdvice)
-	s.leader = l
-	for id, address := range s.leadership.usedWorkers.Workers {
+	s.leaders = append(s.leaders, l)
+	slices.SortFunc(s.leaders, func(a, b *leaderState) int { return int(a.shard - b.shard) })
+	for id, address := range of.usedWorkers.Workers {
 		w := l.addWorker(id)
 		w.entry.Address, w.used = address, true
 		l.unreconciled[id] = true
 	}
+	l.loadingTables[TableProgress] = true
 	l.readProgress("")
-	s.watchTable(TableJobs, l.applyJobRows, func() { l.tableLoaded(TableJobs) })
-	s.watchTable(TableCancels, l.applyCancelRows, func() { l.tableLoaded(TableCancels) })
-	s.watchTable(TableWorkers, l.applyWorkerRows, func() { l.tableLoaded(TableWorkers) })
+	l.follow(TableShards, func(rows []Row, _ bool) { s.applyShardRows(rows) })
+	l.follow(TableJobs, l.applyJobRows)
+	l.follow(TableCancels, l.applyCancelRows)
+	l.follow(TableWorkers, l.applyWorkerRows)
 	l.renewLoop()
 	l.expireLoop()
+	l.publishLoad()
+	l.moveLoop()
+}
+
+// follow watches a table while this host leads the shard.
+func (l *leaderState) follow(t Table, apply func([]Row, bool)) {
+	l.loadingTables[t] = true
+	l.state.watchTable(watchKey{t, l.shard}, apply, func() { l.tableLoaded(t) })
 }
 
 // readProgress reads the progress of all jobs once, from a key on. Only the
 // leader writes progress, so it need not be read again.
 func (l *leaderState) readProgress(from string) {
-	l.state.read(ReadRows{Table: TableProgress, From: from}, func(r RowsRead) {
+	l.state.read(ReadRows{Table: TableProgress, Partition: l.shard.partition(), From: from}, func(r RowsRead) {
 		if l.steppedDown {
 			return
 		}
@@ -132,11 +147,13 @@
 		return
 	}
 	l.loadedAt = l.state.now
-	l.state.logDecision(Decision{Part: "leader", Action: "state read from the store", Subject: l.state.self.Host, Number: uint64(l.epoch), Age: l.state.now - l.tookOverAt})
+	l.state.logDecision(Decision{Part: "leader", Action: "state read from the store", Subject: l.state.self.Host, Where: l.shard.String(), Number: uint64(l.epoch), Age: l.state.now - l.tookOverAt})
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		l.admit(l.jobs[id])
 	}
 	l.loadedProgress = nil
+	l.applyAssignedEntries()
+	l.assignRacks()
 	for _, id := range l.workerIDs {
 		l.workers[id].syncSoon()
 	}
@@ -166,11 +183,11 @@
 	}
 	l.steppedDown = true
 	s := l.state
-	s.leader = nil
-	s.stopWatch(TableJobs)
-	s.stopWatch(TableCancels)
-	s.stopWatch(TableWorkers)
-	s.logDecision(Decision{Part: "leader", Action: "gave up the lead", Subject: s.self.Host, Reason: reason, Number: uint64(l.epoch)})
+	s.leaders = slices.DeleteFunc(s.leaders, func(o *leaderState) bool { return o == l })
+	for _, t := range []Table{TableShards, TableJobs, TableCancels, TableWorkers} {
+		s.stopWatch(watchKey{t, l.shard})
+	}
+	s.logDecision(Decision{Part: "leader", Action: "gave up the lead", Subject: s.self.Host, Where: l.shard.String(), Reason: reason, Number: uint64(l.epoch)})
 }
 
 // renewLoop renews the lease while nothing else is committed.
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -13,16 +13,19 @@
 	leaderLease = 2 * time.Second
 	// leaseRenewInterval separates commits that renew the lease when nothing else is written.
 	leaseRenewInterval = 500 * time.Millisecond
-	// leasePollInterval separates reads of the lease by a host.
-	leasePollInterval = 500 * time.Millisecond
-	// weakPollInterval applies to weak hosts, which leave vacant leadership to
-	// stronger hosts at first.
-	weakPollInterval = 1200 * time.Millisecond
+	// leasePollInterval separates reads of the shards' loads by a host, and
+	// vacancyPollInterval while one of them has no leader.
+	leasePollInterval   = 500 * time.Millisecond
+	vacancyPollInterval = 250 * time.Millisecond
+	// weakPollInterval and weakVacancyPollInterval apply to weak hosts, which leave
+	// vacant leadership to stronger hosts at first.
+	weakPollInterval        = 1200 * time.Millisecond
+	weakVacancyPollInterval = 500 * time.Millisecond
 	// leaderLeaseMargin separates the end of a lease for its holder from its end for
 	// other hosts. It covers clocks that differ in rate, and message delays.
 	leaderLeaseMargin = 250 * time.Millisecond
-	// minReadableTime is how long a host must have been able to read the lease
-	// before it takes over an expired one. A leader that suffered the same store
+	// minReadableTime is how long a host must have been able to read the loads
+	// before it takes over an expired lease. A leader that suffered the same store
 	// outage can then renew first: its commit may have to time out and be retried.
 	minReadableTime = commitTimeout + 2*storeRetryDelay
 	// weakHostRatio defines weak hosts: those with less than this share of the
@@ -30,13 +33,23 @@
 	// has done so within weakTakeoverDelay, which is two polls.
 	weakHostRatio     = 0.5
 	weakTakeoverDelay = 1250 * time.Millisecond
-	// challengeDelay is how long a weak leader has led before a stronger host
-	// asks it to release leadership.
+	// busyTakeoverDelay is how long a host leaves a vacant shard to others for each
+	// shard that it leads, so that shards spread over the hosts.
+	busyTakeoverDelay = 400 * time.Millisecond
+	// firstTakeoverDelay is how long a host with one processor leaves a shard that has
+	// never had a leader to stronger hosts; with fewer processors it waits longer, up
+	// to maxFirstTakeoverDelay.
+	firstTakeoverDelay    = 100 * time.Millisecond
+	maxFirstTakeoverDelay = time.Second
+	// challengeDelay is how long a leader has led before another host asks it to
+	// release leadership.
 	challengeDelay = 2 * time.Second
 )
 
-// leadership is what the host knows about the leader, its lease and the challenge.
+// leadership is what the host knows about the leader of one shard, its lease and the
+// challenge.
 type leadership struct {
+	shard               ShardID
 	leader              LeaderRow
 	leaderVersion       structs.Version
 	lease               LeaseRow
@@ -44,102 +57,203 @@
 	challenge           ChallengeRow
 	usedWorkers         UsedWorkersRow
 	pressures           PressuresRow
-	takeoverInFlight    bool
 	unconfirmedTakeover takeover // outcome unknown; epoch 0: none
-	readableSince       Instant  // since when the lease can be read; 0: it cannot be read
-	epochSeenAt         Instant  // when the current epoch was seen first
-	releasedSince       Instant  // since when the lease is seen as released; 0: it is not released
+	readInFlight        bool
+	vacantSince         Instant // since when the lease is seen as released or absent; 0: it is not
+
+	// Of the leader that the loads show.
+	loadEpoch       structs.Epoch
+	loadEpochSeenAt Instant
+	challengedEpoch structs.Epoch
+}
+
+// leaderOf returns the state of this host as the leader of a shard, or nil.
+func (s *State) leaderOf(id ShardID) *leaderState {
+	for _, l := range s.leaders {
+		if l.shard == id {
+			return l
+		}
+	}
+	return nil
+}
+
+// pollShards reads the loads of the shards periodically. It reads the leases of the
+// shards without a recent load and of those that this host leads.
+func (s *State) pollShards() {
+	s.readShards(func(r RowsRead) {
+		vacant := false
+		if r.Outcome == structs.OutcomeDone {
+			vacant = s.followLeaders()
+		}
+		s.after(s.jittered(s.pollInterval(vacant)), s.pollShards)
+	})
+}
+
+func (s *State) pollInterval(vacant bool) time.Duration {
+	weak := s.isWeak() && len(s.leaders) == 0
+	switch {
+	case weak && vacant:
+		return weakVacancyPollInterval
+	case weak:
+		return weakPollInterval
+	case vacant:
+		return vacancyPollInterval
+	}
+	return leasePollInterval
+}
+
+// followLeaders reads leases as necessary, beginning with a random shard, and reports
+// whether a shard may have no leader.
+func (s *State) followLeaders() (vacant bool) {
+	n := uint64(s.shards.count())
+	first := s.draw() % n
+	for i := range n {
+		l := s.shards.leadership(ShardID((first + i) % n))
+		led := s.shards.led(l.shard, s.now)
+		switch {
+		case s.leaderOf(l.shard) != nil:
+			l.read(s)
+		case !led:
+			vacant = true
+			l.read(s)
+		default:
+			l.considerChallenge(s)
+		}
+	}
+	return vacant
 }
 
-// pollLease reads the leadership rows periodically and takes over a vacant lease.
-func (l *leadership) pollLease(s *State) {
-	s.read(ReadRows{Table: TableControl}, func(r RowsRead) {
-		trackSince(&l.readableSince, r.Outcome == structs.OutcomeDone, s.now)
+// read reads the leadership rows and takes over a vacant lease.
+func (l *leadership) read(s *State) {
+	if l.readInFlight {
+		return
+	}
+	l.readInFlight = true
+	s.read(ReadRows{Table: TableControl, Partition: l.shard.partition()}, func(r RowsRead) {
+		l.readInFlight = false
 		if r.Outcome == structs.OutcomeDone {
 			l.applyRows(s, r.Rows)
 			l.confirmTakeover(s, r.StoreMS)
 			l.considerTakeover(s, r.StoreMS)
 		}
-		interval := leasePollInterval
-		if l.isWeak(s) && s.leader == nil {
-			interval = weakPollInterval
-		}
-		s.after(s.jittered(interval), func() { l.pollLease(s) })
 	})
 }
 
 // applyRows applies leadership rows. A leader steps down if another host leads,
-// and releases leadership if a stronger host has challenged it.
+// and releases leadership if another host has challenged it.
 func (l *leadership) applyRows(s *State, rows []Row) {
 	for _, r := range rows {
 		switch v := r.Value.(type) {
 		case LeaderRow:
 			if r.Version > l.leaderVersion {
 				if v.Epoch != l.leader.Epoch {
-					s.logDecision(Decision{Part: "leader", Action: "leader seen", Subject: v.Host, Number: uint64(v.Epoch)})
-					l.epochSeenAt = s.now
+					s.logDecision(Decision{Part: "leader", Action: "leader seen", Subject: v.Host, Where: l.shard.String(), Number: uint64(v.Epoch)})
 				}
 				l.leader, l.leaderVersion = v, r.Version
+				s.shards.strongest = max(s.shards.strongest, v.Strongest)
 			}
 		case LeaseRow:
 			if r.Version > l.leaseVersion {
 				l.lease, l.leaseVersion = v, r.Version
-				trackSince(&l.releasedSince, v.ExpiresMS == 0, s.now)
 			}
 		case ChallengeRow:
 			l.challenge = v
+			s.shards.strongest = max(s.shards.strongest, v.Processors)
 		case UsedWorkersRow:
 			l.usedWorkers = v
 		case PressuresRow:
 			l.pressures = v
 		}
 	}
-	if s.leader != nil && l.leader.Instance != s.self.Instance {
-		s.leader.stepDown("another host leads")
+	trackSince(&l.vacantSince, l.lease.ExpiresMS == 0, s.now)
+	leader := s.leaderOf(l.shard)
+	if leader == nil {
+		return
 	}
-	if s.leader != nil && l.challenge.Epoch == s.leader.epoch && s.self.Processors < weakHostRatio*l.challenge.Processors {
-		s.leader.releaseLeadership("challenged by a stronger host")
+	if l.leader.Instance != s.self.Instance {
+		leader.stepDown("another host leads")
+		return
+	}
+	if l.challenge.Epoch == leader.epoch && s.yieldsTo(l.challenge) {
+		leader.releaseLeadership("challenged by another host")
 	}
 }
 
 // isWeak reports whether a much stronger host is known to have led or to challenge.
-func (l *leadership) isWeak(s *State) bool {
-	return s.self.Processors < weakHostRatio*max(l.leader.Strongest, l.challenge.Processors)
+func (s *State) isWeak() bool { return s.self.Processors < weakHostRatio*s.shards.strongest }
+
+// yieldsTo reports whether this host releases a shard to a challenger: a much stronger
+// host, or one that leads at least two shards fewer and is not much weaker.
+func (s *State) yieldsTo(c ChallengeRow) bool {
+	if s.self.Processors < weakHostRatio*c.Processors {
+		return true
+	}
+	return s.keptShards() >= c.Leads+2 && c.Processors >= weakHostRatio*s.self.Processors
+}
+
+// keptShards returns how many shards the host leads and is not releasing.
+func (s *State) keptShards() int {
+	n := 0
+	for _, l := range s.leaders {
+		if l.commits.releaseReason == "" {
+			n++
+		}
+	}
+	return n
 }
 
-// considerTakeover takes over when no host holds the lease, or challenges a weak leader.
+// considerTakeover takes over when no host holds the lease.
 func (l *leadership) considerTakeover(s *State, storeMS int64) {
-	if s.leader != nil || s.stopping || l.takeoverInFlight {
+	if s.leaderOf(l.shard) != nil || s.stopping || s.shards.takeover {
 		return
 	}
 	released := l.lease.ExpiresMS == 0
 	vacantFor := time.Duration(storeMS-l.lease.ExpiresMS)*time.Millisecond - leaderLeaseMargin
 	if released {
-		vacantFor = s.now - l.releasedSince
+		vacantFor = s.now - l.vacantSince
 	}
-	readableFor := s.now - l.readableSince
+	readableFor := s.now - s.shards.readableSince
 	switch {
-	case vacantFor < 0:
-		l.challengeLeader(s)
+	case vacantFor < 0 || vacantFor < l.takeoverDelay(s):
 	case !released && readableFor < minReadableTime:
-	case l.isWeak(s) && min(vacantFor, readableFor-minReadableTime) < weakTakeoverDelay:
+	case s.isWeak() && min(vacantFor, readableFor-minReadableTime) < weakTakeoverDelay:
 	default:
 		l.takeOver(s, storeMS)
 	}
 }
 
-// challengeLeader asks a weak leader to release leadership.
-func (l *leadership) challengeLeader(s *State) {
-	if l.leader.Processors >= weakHostRatio*s.self.Processors || l.challenge.Epoch == l.leader.Epoch || s.now-l.epochSeenAt < challengeDelay {
+// takeoverDelay returns how long this host leaves a vacant shard to hosts that lead
+// fewer shards and, if it has never had a leader, to stronger ones.
+func (l *leadership) takeoverDelay(s *State) time.Duration {
+	delay := time.Duration(len(s.leaders)) * busyTakeoverDelay
+	if l.leader.Epoch == 0 {
+		delay += min(time.Duration(float64(firstTakeoverDelay)/max(s.self.Processors, 0.01)), maxFirstTakeoverDelay)
+	}
+	return delay
+}
+
+// considerChallenge asks the leader of a shard to release it if it is weak, or if it
+// leads several shards and this host none.
+func (l *leadership) considerChallenge(s *State) {
+	load := s.shards.loads[l.shard]
+	if load.Epoch != l.loadEpoch {
+		l.loadEpoch, l.loadEpochSeenAt = load.Epoch, s.now
+	}
+	if s.stopping || load.Epoch == l.challengedEpoch || s.now-l.loadEpochSeenAt < challengeDelay {
+		return
+	}
+	stronger := load.Processors < weakHostRatio*s.self.Processors
+	lessBusy := load.Leads >= len(s.leaders)+2 && !s.isWeak()
+	if !stronger && !lessBusy {
 		return
 	}
-	row := ChallengeRow{Host: s.self.Host, Epoch: l.leader.Epoch, Processors: s.self.Processors}
-	l.challenge = row
-	s.logDecision(Decision{Part: "leader", Action: "asked a weaker host for the lead", Subject: s.self.Host, Where: l.leader.Host, Number: uint64(row.Epoch)})
-	s.commit(Commit{Writes: []Write{{TableControl, KeyChallenge, row}}}, func(c Committed) {
+	row := ChallengeRow{Host: s.self.Host, Epoch: load.Epoch, Processors: s.self.Processors, Leads: len(s.leaders)}
+	l.challengedEpoch = load.Epoch
+	s.logDecision(Decision{Part: "leader", Action: "asked another host for the lead", Subject: s.self.Host, Where: load.Host, Reason: l.shard.String(), Number: uint64(row.Epoch)})
+	s.commit(Commit{Writes: []Write{{TableControl, l.shard.partition(), KeyChallenge, row}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
 			s.logDecision(Decision{Part: "leader", Action: "request for the lead did not reach the store", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
-			l.challenge = ChallengeRow{}
+			l.challengedEpoch = 0
 		}
 	})
 }
@@ -153,20 +267,21 @@
 // takeOver writes the next epoch. The conditions on both rows let exactly one
 // host succeed, and only if the former leader has not renewed its lease.
 func (l *leadership) takeOver(s *State, storeMS int64) {
-	l.takeoverInFlight = true
+	s.shards.takeover = true
 	attempt := takeover{epoch: l.leader.Epoch + 1, sentAt: s.now}
 	row := LeaderRow{
 		Host: s.self.Host, Instance: s.self.Instance, Epoch: attempt.epoch,
-		Processors: s.self.Processors, Strongest: max(l.leader.Strongest, s.self.Processors),
+		Processors: s.self.Processors, Strongest: max(l.leader.Strongest, s.shards.strongest, s.self.Processors),
 	}
 	lease := LeaseRow{Instance: s.self.Instance, Sequence: 1, ExpiresMS: storeMS + (leaderLease + leaderLeaseMargin).Milliseconds()}
+	partition := l.shard.partition()
 	s.commit(Commit{
-		Conditions: []Condition{{TableControl, KeyLeader, l.leaderVersion}, {TableControl, KeyLease, l.leaseVersion}},
-		Writes:     []Write{{TableControl, KeyLeader, row}, {TableControl, KeyLease, lease}},
+		Conditions: []Condition{{TableControl, partition, KeyLeader, l.leaderVersion}, {TableControl, partition, KeyLease, l.leaseVersion}},
+		Writes:     []Write{{TableControl, partition, KeyLeader, row}, {TableControl, partition, KeyLease, lease}},
 	}, func(c Committed) {
-		l.takeoverInFlight = false
+		s.shards.takeover = false
 		if c.Outcome != structs.OutcomeDone {
-			s.logDecision(Decision{Part: "leader", Action: "takeover did not succeed", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
+			s.logDecision(Decision{Part: "leader", Action: "takeover did not succeed", Subject: s.self.Host, Where: l.shard.String(), Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
 			if c.Outcome == structs.OutcomeUnknown {
 				l.unconfirmedTakeover = attempt
 			}
@@ -179,9 +294,10 @@
 
 // startLeading makes this host the leader of an epoch that it has written.
 func (l *leadership) startLeading(s *State, attempt takeover, storeMS int64) {
-	l.unconfirmedTakeover = takeover{}
-	s.logDecision(Decision{Part: "leader", Action: "took the lead", Subject: s.self.Host, Number: uint64(attempt.epoch)})
-	becomeLeader(s, attempt.epoch, l.leaderVersion, attempt.sentAt, storeMS)
+	l.unconfirmedTakeover, l.vacantSince = takeover{}, 0
+	s.shards.strongest = max(s.shards.strongest, l.leader.Strongest)
+	s.logDecision(Decision{Part: "leader", Action: "took the lead", Subject: s.self.Host, Where: l.shard.String(), Number: uint64(attempt.epoch)})
+	becomeLeader(s, l, attempt, storeMS)
 }
 
 // confirmTakeover makes this host the leader when a takeover without an answer
@@ -190,7 +306,7 @@
 // at which the takeover was sent.
 func (l *leadership) confirmTakeover(s *State, storeMS int64) {
 	a := l.unconfirmedTakeover
-	if a.epoch == 0 || s.leader != nil || s.stopping {
+	if a.epoch == 0 || s.leaderOf(l.shard) != nil || s.stopping {
 		return
 	}
 	switch {
--- a/core/scheduler/leadership_test.go
+++ b/core/scheduler/leadership_test.go
@@ -37,7 +37,7 @@
 	strong := []*fakeHost{sim.addHost("strong1"), sim.addHost("strong2")}
 	sim.waitFor(challengeDelay+2*time.Second, "a strong leader", func() bool {
 		h := sim.leader()
-		return h != nil && h != weak && h.state.leader.isLoaded()
+		return h != nil && h != weak && h.state.leaderOf(0).isLoaded()
 	})
 	for range 4 {
 		for i := range 6 {
@@ -106,7 +106,7 @@
 	sim.waitFor(time.Second, "the start of a job that no leader had claimed", func() bool {
 		return sim.workerRunning(structs.TaskRef{Job: jobB}) != nil
 	})
-	if len(sim.leader().state.leader.unreconciled) == 0 {
+	if len(sim.leader().state.leaderOf(0).unreconciled) == 0 {
 		t.Error("no worker is unreconciled, so the test shows nothing")
 	}
 }
--- /dev/null
+++ b/core/scheduler/plan.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// plannerShard is the shard whose leader assigns racks to shards.
+const plannerShard ShardID = 0
+
+// rackKey returns the key of a worker's rack in the plan. A worker whose rack is not
+// known is a rack of its own.
+func rackKey(id structs.WorkerID, e *structs.WorkerEntry) string {
+	if e.Rack == "" {
+		return "worker:" + string(id)
+	}
+	return e.Rack
+}
+
+// isMine reports whether the stored plan assigns a worker to this shard. A worker that
+// the leader knows stays, whatever its entry says of its rack.
+func (l *leaderState) isMine(id structs.WorkerID, e *structs.WorkerEntry) bool {
+	if l.workers[id] != nil {
+		return true
+	}
+	shard, ok := l.state.shards.plan.Racks[rackKey(id, e)]
+	return ok && shard == l.shard
+}
+
+// applyAssignedEntries applies the entries of workers that the plan has assigned to
+// this shard since.
+func (l *leaderState) applyAssignedEntries() {
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[id]
+		if w := l.workers[id]; (w == nil || !w.listed) && l.isMine(id, &e) {
+			l.applyEntry(id, e)
+		}
+	}
+	l.schedule.requestPass()
+}
+
+// assignRacks assigns racks that the plan does not have, and adds shards as the number
+// of workers grows. The workers of a rack are used once the plan is stored.
+func (l *leaderState) assignRacks() {
+	if l.shard != plannerShard || !l.isLoaded() {
+		return
+	}
+	plan := l.state.shards.plan
+	if l.commits.plan != nil {
+		plan = *l.commits.plan
+	}
+	counts := make(map[string]int) // workers by rack
+	newRacks := make(map[string]structs.WorkerID)
+	for id, e := range l.entries {
+		key := rackKey(id, &e)
+		counts[key]++
+		if _, ok := plan.Racks[key]; !ok {
+			newRacks[key] = max(newRacks[key], id)
+		}
+	}
+	if len(newRacks) == 0 {
+		return
+	}
+	plan = ShardPlanRow{Shards: max(plan.Shards, l.wantedShards()), Racks: maps.Clone(plan.Racks)}
+	if plan.Racks == nil {
+		plan.Racks = make(map[string]ShardID)
+	}
+	for id := range l.entries {
+		// Former leaders of a deployment without a plan used all workers.
+		if w := l.workers[id]; w != nil && w.used {
+			e := l.entries[id]
+			if key := rackKey(id, &e); newRacks[key] != "" {
+				plan.Racks[key] = plannerShard
+				delete(newRacks, key)
+			}
+		}
+	}
+	l.spreadRacks(&plan, newRacks, counts)
+	l.commits.plan = &plan
+	l.state.logDecision(Decision{Part: "leader", Action: "racks assigned to shards", Subject: l.state.self.Host, Number: uint64(plan.Shards)})
+}
+
+// wantedShards returns the number of shards for the listed workers.
+func (l *leaderState) wantedShards() int {
+	size := l.state.self.ShardWorkers
+	if size <= 0 {
+		return 1
+	}
+	return min(max((len(l.entries)+size-1)/size, 1), maxShards)
+}
+
+// spreadRacks assigns each new rack to the shard with the fewest workers, separately
+// for each service, so that each shard has workers of all services and zones.
+func (l *leaderState) spreadRacks(plan *ShardPlanRow, newRacks map[string]structs.WorkerID, counts map[string]int) {
+	type pool struct {
+		service string
+		shard   ShardID
+	}
+	sizes := make(map[pool]int)
+	for id, e := range l.entries {
+		if shard, ok := plan.Racks[rackKey(id, &e)]; ok {
+			sizes[pool{e.Service, shard}]++
+		}
+	}
+	for _, rack := range slices.Sorted(maps.Keys(newRacks)) {
+		service := l.entries[newRacks[rack]].Service
+		smallest := ShardID(0)
+		for id := range ShardID(plan.Shards) {
+			if sizes[pool{service, id}] < sizes[pool{service, smallest}] {
+				smallest = id
+			}
+		}
+		plan.Racks[rack] = smallest
+		sizes[pool{service, smallest}] += counts[rack]
+	}
+}
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -39,13 +39,9 @@
 	commitUnknown bool // the outcome of a commit for it is unknown; it may still be performed
 }
 
-// requestState holds the open requests and the queue lengths that were last read.
+// requestState holds the open requests.
 type requestState struct {
 	open map[RequestID]*request
-
-	queueLengths      map[string]int // by name of the queue
-	queueLengthsAt    Instant
-	queueLengthsKnown bool
 }
 
 func newRequestState() requestState { return requestState{open: make(map[RequestID]*request)} }
@@ -137,21 +133,24 @@
 		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter})
 		return
 	}
-	s.storeJob(r, job)
+	s.withLoads(func() {
+		job.Shard = int(s.chooseShard(&job))
+		s.storeJob(r, job)
+	})
 }
 
 func (s *State) storeJob(r *request, job structs.Job) {
-	key := string(job.ID)
+	key, partition := string(job.ID), jobPartition(job.ID)
 	s.commit(Commit{
-		Conditions: []Condition{{TableJobs, key, 0}},
-		Writes:     []Write{{TableJobs, key, JobRow{job}}},
+		Conditions: []Condition{{TableJobs, partition, key, 0}},
+		Writes:     []Write{{TableJobs, partition, key, JobRow{job}}},
 	}, func(c Committed) { s.submitDone(r, job, c) })
 }
 
 func (s *State) submitDone(r *request, job structs.Job, c Committed) {
 	switch {
 	case c.Outcome == structs.OutcomeDone:
-		s.logDecision(Decision{Part: "request", Action: "job accepted", Subject: string(job.ID), Where: job.Queue, Age: s.now - r.arrivedAt, Number: s.config.current.Number})
+		s.logDecision(Decision{Part: "request", Action: "job accepted", Subject: string(job.ID), Where: job.Queue, Reason: ShardID(job.Shard).String(), Age: s.now - r.arrivedAt, Number: s.config.current.Number})
 		s.answer(r, Answer{Status: AnswerOK})
 	case len(c.Conflicts) > 0:
 		// The job has been stored by an earlier request or attempt.
@@ -179,41 +178,70 @@
 }
 
 // readRow reads one row.
-func (s *State) readRow(t Table, key string, done func(RowsRead)) {
-	s.read(ReadRows{Table: t, Partition: PartitionOf(t, key), From: key, To: key + "\x00", Limit: 1}, done)
+func (s *State) readRow(t Table, partition Partition, key string, done func(RowsRead)) {
+	s.read(ReadRows{Table: t, Partition: partition, From: key, To: key + "\x00", Limit: 1}, done)
 }
 
-// findState reads the state of a job and passes it to found. A job without
-// progress is queued. The state is empty if there is no such job.
+// findState reads the state of a job and passes it to found. The state is empty if
+// there is no such job. With one shard most jobs are found with one read.
 func (s *State) findState(r *request, again func(), found func(structs.JobState)) {
-	s.readRow(TableProgress, string(r.job), func(got RowsRead) {
+	if s.shards.count() > 1 {
+		s.findByJobRow(r, again, found)
+		return
+	}
+	s.findProgress(r, 0, again, func(state structs.JobState) {
+		if state != "" {
+			found(state)
+			return
+		}
+		s.findByJobRow(r, again, found)
+	})
+}
+
+// findByJobRow reads the job row, which names the shard, and then the progress there.
+// A job without progress is queued.
+func (s *State) findByJobRow(r *request, again func(), found func(structs.JobState)) {
+	s.readRow(TableJobs, jobPartition(r.job), string(r.job), func(got RowsRead) {
 		if got.Outcome != structs.OutcomeDone {
 			s.retry(r, again)
 			return
 		}
 		if len(got.Rows) == 0 {
-			s.findQueued(r, again, found)
+			found("")
 			return
 		}
-		p, ok := got.Rows[0].Value.(ProgressRow)
+		row, ok := got.Rows[0].Value.(JobRow)
 		if !ok {
-			s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job's state cannot be read"})
+			s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job cannot be read"})
 			return
 		}
-		found(p.State)
+		s.findProgress(r, ShardID(row.Shard), again, func(state structs.JobState) {
+			if state == "" {
+				state = structs.JobQueued
+			}
+			found(state)
+		})
 	})
 }
 
-func (s *State) findQueued(r *request, again func(), found func(structs.JobState)) {
-	s.readRow(TableJobs, string(r.job), func(got RowsRead) {
-		switch {
-		case got.Outcome != structs.OutcomeDone:
+// findProgress reads the progress of a job in a shard. The state is empty if there is
+// none.
+func (s *State) findProgress(r *request, shard ShardID, again func(), found func(structs.JobState)) {
+	s.readRow(TableProgress, shard.partition(), string(r.job), func(got RowsRead) {
+		if got.Outcome != structs.OutcomeDone {
 			s.retry(r, again)
-		case len(got.Rows) == 0:
+			return
+		}
+		if len(got.Rows) == 0 {
 			found("")
-		default:
-			found(structs.JobQueued)
+			return
 		}
+		p, ok := got.Rows[0].Value.(ProgressRow)
+		if !ok {
+			s.answer(r, Answer{Status: AnswerUnknown, Reason: "the job's state cannot be read"})
+			return
+		}
+		found(p.State)
 	})
 }
 
@@ -241,7 +269,7 @@
 }
 
 func (s *State) writeCancel(r *request) {
-	s.commit(Commit{Writes: []Write{{TableCancels, string(r.job), CancelRow{Host: s.self.Host}}}}, func(c Committed) {
+	s.commit(Commit{Writes: []Write{{Table: TableCancels, Key: string(r.job), Value: CancelRow{Host: s.self.Host}}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
 			s.retry(r, func() { s.writeCancel(r) })
 			return
@@ -252,36 +280,44 @@
 }
 
 func (s *State) answerQueueLength(r *request, q *structs.Queue) {
-	if s.requests.queueLengthsKnown && s.now-s.requests.queueLengthsAt < queueLengthCacheTime {
-		s.answer(r, Answer{Status: AnswerOK, HasQueueLength: true, QueueLength: s.requests.queueLengths[q.Name]})
+	if s.shards.everRead && s.now-s.shards.readAt < queueLengthCacheTime {
+		s.sendQueueLength(r, q)
 		return
 	}
-	s.read(ReadRows{Table: TableQueues, From: KeyQueueLengths, Limit: 1}, func(got RowsRead) {
+	s.readShards(func(got RowsRead) {
 		if got.Outcome != structs.OutcomeDone {
 			s.retry(r, func() { s.answerQueueLength(r, q) })
 			return
 		}
-		lengths, fresh := parseQueueLengths(got)
-		if !fresh {
-			s.retry(r, func() { s.answerQueueLength(r, q) })
-			return
-		}
-		s.requests.queueLengths = lengths
-		s.requests.queueLengthsAt, s.requests.queueLengthsKnown = s.now, true
-		s.answer(r, Answer{Status: AnswerOK, HasQueueLength: true, QueueLength: s.requests.queueLengths[q.Name]})
+		s.sendQueueLength(r, q)
 	})
 }
 
-// parseQueueLengths returns the queue lengths among the rows, and whether they are
-// recent enough to be returned to callers. Before the first leader all queues are
-// empty.
-func parseQueueLengths(got RowsRead) (map[string]int, bool) {
-	for _, row := range got.Rows {
-		if p, ok := row.Value.(QueueLengthsRow); ok {
-			return p.Jobs, got.StoreMS-p.AtMS < maxQueueLengthAge.Milliseconds()
+func (s *State) sendQueueLength(r *request, q *structs.Queue) {
+	length, fresh := s.shards.queueLength(q.Name, s.now)
+	if !fresh {
+		s.retry(r, func() { s.answerQueueLength(r, q) })
+		return
+	}
+	s.answer(r, Answer{Status: AnswerOK, HasQueueLength: true, QueueLength: length})
+}
+
+// queueLength returns the length of a queue over all shards, and whether enough of the
+// shards have counted it recently to answer callers. Before the first leader all
+// queues are empty.
+func (v *shardView) queueLength(queue string, now Instant) (length int, fresh bool) {
+	stale := 0
+	for id := range ShardID(v.count()) {
+		load, ok := v.loads[id]
+		if !ok {
+			continue
+		}
+		length += load.QueueLengths[queue]
+		if v.age(load, now) > maxQueueLengthAge {
+			stale++
 		}
 	}
-	return nil, true
+	return length, stale == 0 || 2*stale < v.count()
 }
 
 const jobIDDigits = 16
--- /dev/null
+++ b/core/scheduler/route.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// freshLoadTime is how long the loads of shards are reused to choose the shard of a
+// job.
+const freshLoadTime = 150 * time.Millisecond
+
+// withLoads calls then once the loads of the shards are recent. If they cannot be read
+// it uses those that are known.
+func (s *State) withLoads(then func()) {
+	v := &s.shards
+	if v.everRead && (v.count() == 1 || s.now-v.readAt < freshLoadTime) {
+		then()
+		return
+	}
+	s.readShards(func(RowsRead) { then() })
+}
+
+// chooseShard returns the shard for a new job: the one with more room of two that are
+// drawn at random from those that can run it. Loads are some tenths of a second old,
+// so that the best of all shards would be chosen by all hosts at once.
+func (s *State) chooseShard(j *structs.Job) ShardID {
+	n := s.shards.count()
+	if n == 1 {
+		return 0
+	}
+	service := s.config.policyOf(j).Service
+	candidates, suitable := s.shards.suitable(j, service, s.now)
+	if len(suitable) > 0 {
+		candidates = suitable
+	}
+	if len(candidates) == 0 {
+		return ShardID(s.draw() % uint64(n))
+	}
+	best := candidates[s.draw()%uint64(len(candidates))]
+	if other := candidates[s.draw()%uint64(len(candidates))]; s.shards.room(other, j, service) > s.shards.room(best, j, service) {
+		best = other
+	}
+	return best
+}
+
+// suitable returns the shards with leaders that have workers for a job, and those of
+// them that have room for its first step and all labels that it names.
+func (v *shardView) suitable(j *structs.Job, service string, now Instant) (led, suitable []ShardID) {
+	for id := range ShardID(v.count()) {
+		load, ok := v.loads[id]
+		if !ok || load.AtMS == 0 || v.age(load, now) > maxLoadAge {
+			continue
+		}
+		if _, ok := load.Services[service]; !ok || !load.hasLabels(j, false) {
+			continue
+		}
+		led = append(led, id)
+		if v.room(id, j, service) >= 0 && load.hasLabels(j, true) {
+			suitable = append(suitable, id)
+		}
+	}
+	return led, suitable
+}
+
+// hasLabels reports whether workers of the shard have the labels that the steps of a
+// job require and, if asked, the racks with its data.
+func (load *ShardLoadRow) hasLabels(j *structs.Job, dataRacks bool) bool {
+	for _, step := range j.Steps {
+		if step.Label != "" && !slices.Contains(load.Labels, step.Label) {
+			return false
+		}
+		if dataRacks && step.DataRack != "" && !slices.Contains(load.Labels, step.DataRack) {
+			return false
+		}
+	}
+	return true
+}
+
+// room returns what would be left of a shard's capacity for a job once the tasks of its
+// first step run.
+func (v *shardView) room(id ShardID, j *structs.Job, service string) int64 {
+	load := v.loads[id].Services[service]
+	load.subtract(&j.Steps[0], j.Steps[0].Count)
+	if j.Steps[0].BestEffort {
+		return load.IdleMilliCores
+	}
+	return load.FreeMilliCores
+}
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "github.com/tamarackstep/tamarackstep/core/structs"
+import (
+	"strconv"
+	"strings"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
 
 // Table names a table of the platform's store.
 type Table uint8
@@ -9,36 +14,61 @@
 const (
 	TableOperator Table = iota + 1 // the operator's configuration
 	TableWorkers                   // the platform's list of workers, by worker id
-	TableControl                   // leadership
+	TableControl                   // leadership of each shard, in its partition
 	TableJobs                      // submitted jobs, by job id; written once
-	TableProgress                  // progress of each job, by job id
+	TableProgress                  // progress of each job, by job id, in the partition of its shard
 	TableCancels                   // cancellations, by job id
-	TableQueues                    // lengths of the queues
+	TableShards                    // the plan of the shards, and the load of each
 )
 
 // Partition numbers a partition of a table. The store performs the transactions
 // of one partition in sequence, and all rows of a transaction are in one partition.
 type Partition int
 
-// jobPartitions is the number of partitions of TableJobs. With several, a slow
-// store performs submissions concurrently with each other and with the leader's
-// commits. All other tables have only partition 0, since the leader writes them
-// together.
-const jobPartitions = 16
+// JobPartitions is the number of partitions of TableJobs. With several, a slow
+// store performs submissions concurrently with each other and with the leaders'
+// commits. TableControl and TableProgress have one partition for each shard, since
+// its leader writes them together. All other tables have only partition 0.
+const JobPartitions = 16
 
-// PartitionOf returns the partition of a row. Jobs are spread by the last digit
+// jobPartition returns the partition of a job row. Jobs are spread by the last digit
 // of their ID, which callers choose at random.
-func PartitionOf(t Table, key string) Partition {
-	if t != TableJobs || key == "" {
+func jobPartition(id structs.JobID) Partition {
+	if id == "" {
+		return 0
+	}
+	return Partition(id[len(id)-1]) % JobPartitions
+}
+
+// ShardID numbers a shard, from 0.
+type ShardID int
+
+// partition returns the partition of the rows of a shard. Shard 0 shares partition 0
+// with the rows of other programs.
+func (id ShardID) partition() Partition {
+	if id == 0 {
 		return 0
 	}
-	return Partition(key[len(key)-1]) % jobPartitions
+	return JobPartitions + Partition(id)
 }
 
-// partitions returns how many partitions a table has.
-func (t Table) partitions() Partition {
+// String returns the shard's name in logs.
+func (id ShardID) String() string { return "shard " + strconv.Itoa(int(id)) }
+
+// loadKey returns the key of a shard's load in TableShards.
+func (id ShardID) loadKey() string { return loadKeyPrefix + strconv.Itoa(int(id)) }
+
+// shardOfLoadKey returns the shard with a key in TableShards, or false for other keys.
+func shardOfLoadKey(key string) (ShardID, bool) {
+	digits, ok := strings.CutPrefix(key, loadKeyPrefix)
+	n, err := strconv.Atoi(digits)
+	return ShardID(n), ok && err == nil && n >= 0 && n < maxShards
+}
+
+// loadedPartitions returns how many partitions a watched table has.
+func (t Table) loadedPartitions() Partition {
 	if t == TableJobs {
-		return jobPartitions
+		return JobPartitions
 	}
 	return 1
 }
@@ -51,7 +81,8 @@
 	KeyChallenge     = "challenge"
 	KeyPressures     = "pressures"
 	KeyUsedWorkers   = "workers"
-	KeyQueueLengths  = "pending"
+	KeyPlan          = "plan"
+	loadKeyPrefix    = "load"
 )
 
 // RowValue is the content of a row. The set of types is closed.
@@ -78,11 +109,13 @@
 	Strongest  float64            `json:"strongest"`  // most processors of any leader so far
 }
 
-// ChallengeRow asks the leader of an epoch to release leadership to a stronger host.
+// ChallengeRow asks the leader of an epoch to release leadership to a host that is
+// stronger or leads fewer shards.
 type ChallengeRow struct {
 	Host       string        `json:"host"`
 	Epoch      structs.Epoch `json:"epoch"`
 	Processors float64       `json:"processors"`
+	Leads      int           `json:"leads,omitempty"` // shards that the challenger leads
 }
 
 // LeaseRow is the leader's lease. Each commit of the leader replaces it and is
@@ -121,11 +154,32 @@
 	Variance   float64 `json:"variance"`
 }
 
-// QueueLengthsRow holds the lengths of the queues: by queue, the number of accepted jobs
-// that have not started.
-type QueueLengthsRow struct {
-	Jobs map[string]int `json:"jobs"`
-	AtMS int64          `json:"at_ms"` // when they were counted, on the store's clock
+// ShardPlanRow divides the workers into shards by their racks. Shards are added and
+// never removed, and a rack never changes its shard: a worker refuses commands with
+// a lower epoch than it has seen, and epochs of different shards are not comparable.
+type ShardPlanRow struct {
+	Shards int                `json:"shards"`
+	Racks  map[string]ShardID `json:"racks"`
+}
+
+// ShardLoadRow is the load of one shard, which its leader writes every loadInterval.
+type ShardLoadRow struct {
+	Host         string                 `json:"host"`
+	Epoch        structs.Epoch          `json:"epoch"`
+	Processors   float64                `json:"processors"` // of the leader
+	Strongest    float64                `json:"strongest"`  // most processors of any leader so far
+	Leads        int                    `json:"leads"`      // shards that the host leads
+	AtMS         int64                  `json:"at_ms"`      // when it was written, on the store's clock; 0: the leader has released the shard
+	QueueLengths map[string]int         `json:"queues"`     // accepted jobs that have not started, by queue
+	Services     map[string]ServiceLoad `json:"services"`   // by service
+	Labels       []string               `json:"labels"`     // of its workers
+}
+
+// ServiceLoad is the capacity of a shard for the tasks of one service. Both amounts
+// become negative when more tasks wait than there is room for.
+type ServiceLoad struct {
+	FreeMilliCores int64 `json:"free"` // not reserved, less what waiting tasks would reserve
+	IdleMilliCores int64 `json:"idle"` // expected to be idle, less what waiting best-effort tasks request
 }
 
 // ConfigurationRow is the operator's configuration.
@@ -142,6 +196,7 @@
 func (ChallengeRow) isRowValue()     {}
 func (UsedWorkersRow) isRowValue()   {}
 func (PressuresRow) isRowValue()     {}
-func (QueueLengthsRow) isRowValue()  {}
+func (ShardPlanRow) isRowValue()     {}
+func (ShardLoadRow) isRowValue()     {}
 func (ConfigurationRow) isRowValue() {}
 func (WorkerRow) isRowValue()        {}
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -27,12 +27,11 @@
 
 // scheduleState holds when the next scheduling pass is due.
 type scheduleState struct {
-	passRequested    bool
-	timerAt          Instant // time of the earliest timer that was set for a pass
-	lastPass         Instant
-	scoredWorkers    int             // in the last pass
-	wakeAt           Instant         // earliest time at which a delayed task may start; 0: none
-	unmatchedCancels []structs.JobID // cancellations whose job has not been read yet
+	passRequested bool
+	timerAt       Instant // time of the earliest timer that was set for a pass
+	lastPass      Instant
+	scoredWorkers int     // in the last pass
+	wakeAt        Instant // earliest time at which a delayed task may start; 0: none
 }
 
 // requestPass requests a pass at the end of the event.
@@ -83,7 +82,6 @@
 
 // runPass starts all tasks that may start and can be placed, in order of rank.
 func (l *leaderState) runPass() {
-	l.applyUnmatchedCancels()
 	now := l.state.now
 	l.starts.expire(now)
 	unplaceable := make(map[demand]bool) // demands that no worker can meet in this pass
@@ -111,19 +109,6 @@
 	return jobs
 }
 
-// applyUnmatchedCancels cancels jobs whose cancellation was read before their row.
-func (l *leaderState) applyUnmatchedCancels() {
-	c := &l.schedule
-	c.unmatchedCancels = slices.DeleteFunc(c.unmatchedCancels, func(id structs.JobID) bool {
-		j := l.jobs[id]
-		if j == nil || !j.admitted {
-			return false
-		}
-		l.cancel(j)
-		return true
-	})
-}
-
 // compareRank orders jobs by priority, then by rank class, then by soft deadline.
 func (l *leaderState) compareRank(a, b *job, now Instant) int {
 	pa, pb := l.state.config.policyOf(&a.Job).Priority, l.state.config.policyOf(&b.Job).Priority
@@ -156,7 +141,7 @@
 // placeJob starts the tasks of a job that are due, unless this leader's claim of
 // the job has not been stored yet.
 func (l *leaderState) placeJob(j *job, unplaceable map[demand]bool) {
-	if j.ClaimEpoch == l.epoch && !j.claimStored {
+	if j.ClaimEpoch == l.epoch && !j.claimStored || l.waitsForMove(j) {
 		return
 	}
 	for occurrence := range j.remainingByStep {
--- a/core/scheduler/schedule_test.go
+++ b/core/scheduler/schedule_test.go
@@ -14,7 +14,7 @@
 	sim := newSimulation(t, 1, 2)
 	sim.waitForLeader()
 	sim.advance(time.Second)
-	sim.leader().state.leader.workers["w00"].pauseStarts(2 * time.Second)
+	sim.leader().state.leaderOf(0).workers["w00"].pauseStarts(2 * time.Second)
 	sim.advance(700 * time.Millisecond) // events after which the leader waits for the end of the pause
 	sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	sim.waitFor(maxDelay, "the start on the other worker", func() bool { return sim.workerRunning(structs.TaskRef{Job: jobA}) != nil })
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -35,7 +35,7 @@
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
 	task := structs.TaskRef{Job: jobA}
 	sim.waitFor(time.Second, "the start", func() bool { return sim.workerRunning(task) != nil })
-	l := sim.leader().state.leader
+	l := sim.leader().state.leaderOf(0)
 	idle := l.workers["w00"]
 	if sim.workerRunning(task).id == "w00" {
 		idle = l.workers["w01"]
@@ -338,7 +338,7 @@
 	f.crash()
 	f.boot()
 	f.onStart = func(StartTask) startOutcome { return startUnanswered }
-	l := sim.leader().state.leader
+	l := sim.leader().state.leaderOf(0)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 3*time.Second, 1000))
 	sim.advance(20 * time.Millisecond)
 	if r := l.workers["w00"].runs; len(r) != 1 {
@@ -439,7 +439,7 @@
 	sim := newSimulation(t, 1, 2)
 	sim.waitForLeader()
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Hour, 1000))
-	l := sim.leader().state.leader
+	l := sim.leader().state.leaderOf(0)
 	j, ref := l.jobs[jobA], structs.TaskRef{Job: jobA}
 	for _, id := range []structs.Run{3, 2, 3} {
 		l.taskFailed(j, ref, id, l.workers["w00"])
--- /dev/null
+++ b/core/scheduler/shards.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// maxShards bounds the number of shards.
+	maxShards = 64
+	// loadInterval separates writes of a shard's load. Hosts see by them that the
+	// shard has a leader.
+	loadInterval = 300 * time.Millisecond
+	// leaderSilence is the age of a shard's load from which hosts read its lease. It
+	// ends before the lease does.
+	leaderSilence = 900 * time.Millisecond
+	// maxLoadAge is the age from which a load says nothing about a shard.
+	maxLoadAge = 3 * time.Second
+)
+
+// shardView is what a host knows of all shards.
+type shardView struct {
+	plan          ShardPlanRow
+	planVersion   structs.Version
+	loads         map[ShardID]ShardLoadRow
+	loadVersions  map[ShardID]structs.Version
+	storeMS       int64         // the store's clock at readAt
+	readAt        Instant       // of the last complete read
+	everRead      bool          // the rows have been read
+	readableSince Instant       // since when they can be read; 0: they cannot be read
+	leaderships   []*leadership // by shard
+	takeover      bool          // a takeover of a shard is in flight
+	strongest     float64       // most processors of any leader or challenger seen
+}
+
+func newShardView() shardView {
+	return shardView{loads: make(map[ShardID]ShardLoadRow), loadVersions: make(map[ShardID]structs.Version)}
+}
+
+// count returns the number of shards.
+func (v *shardView) count() int { return min(max(v.plan.Shards, 1), maxShards) }
+
+// leadership returns what the host knows of the leader of a shard.
+func (v *shardView) leadership(id ShardID) *leadership {
+	for len(v.leaderships) <= int(id) {
+		v.leaderships = append(v.leaderships, &leadership{shard: ShardID(len(v.leaderships))})
+	}
+	return v.leaderships[id]
+}
+
+// age returns how old a load is now.
+func (v *shardView) age(load ShardLoadRow, now Instant) time.Duration {
+	return time.Duration(v.storeMS-load.AtMS)*time.Millisecond + now - v.readAt
+}
+
+// led reports whether the load of a shard shows that it has a leader.
+func (v *shardView) led(id ShardID, now Instant) bool {
+	load, ok := v.loads[id]
+	return ok && load.AtMS > 0 && v.age(load, now) < leaderSilence
+}
+
+// applyShardRows applies rows of TableShards. Older versions than those known are
+// ignored, since reads and watches overtake each other.
+func (s *State) applyShardRows(rows []Row) {
+	v := &s.shards
+	planChanged := false
+	for _, r := range rows {
+		switch value := r.Value.(type) {
+		case ShardPlanRow:
+			if r.Version > v.planVersion {
+				planChanged = true
+				v.plan, v.planVersion = value, r.Version
+			}
+		case ShardLoadRow:
+			if id, ok := shardOfLoadKey(r.Key); ok && r.Version > v.loadVersions[id] {
+				v.loads[id], v.loadVersions[id] = value, r.Version
+				v.strongest = max(v.strongest, value.Strongest)
+			}
+		}
+	}
+	if planChanged {
+		s.planChanged()
+	}
+}
+
+// planChanged tells the leaders of this host that workers may have been assigned.
+func (s *State) planChanged() {
+	s.logDecision(Decision{Part: "leader", Action: "plan of shards in force", Subject: s.self.Host, Number: uint64(s.shards.count())})
+	for _, l := range s.leaders {
+		l.applyAssignedEntries()
+	}
+}
+
+// readShards reads the plan and all loads, and passes the result to done.
+func (s *State) readShards(done func(RowsRead)) {
+	s.read(ReadRows{Table: TableShards}, func(r RowsRead) {
+		v := &s.shards
+		trackSince(&v.readableSince, r.Outcome == structs.OutcomeDone, s.now)
+		if r.Outcome == structs.OutcomeDone {
+			v.storeMS, v.readAt, v.everRead = r.StoreMS, s.now, true
+			s.applyShardRows(r.Rows)
+		}
+		done(r)
+	})
+}
+
+// publishLoad writes the load of the shard periodically.
+func (l *leaderState) publishLoad() {
+	l.after(loadInterval, l.publishLoad)
+	if !l.isLoaded() || !l.leaseValid() || l.loadInFlight {
+		return
+	}
+	l.loadInFlight = true
+	l.state.commit(Commit{Writes: []Write{{Table: TableShards, Key: l.shard.loadKey(), Value: l.load()}}}, func(Committed) {
+		l.loadInFlight = false
+	})
+}
+
+// publishRelease tells the other hosts at once that the shard has no leader.
+func (l *leaderState) publishRelease() {
+	row := l.load()
+	row.AtMS = 0
+	l.state.commit(Commit{Writes: []Write{{Table: TableShards, Key: l.shard.loadKey(), Value: row}}}, func(c Committed) {
+		if c.Outcome != structs.OutcomeDone {
+			// The hosts see it later, by the age of the last load.
+			l.state.logDecision(Decision{Part: "leader", Action: "release was not published", Subject: l.state.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(l.epoch)})
+		}
+	})
+}
+
+// load returns the load of the shard now.
+func (l *leaderState) load() ShardLoadRow {
+	s := l.state
+	row := ShardLoadRow{
+		Host: s.self.Host, Epoch: l.epoch, Processors: s.self.Processors, Strongest: s.shards.strongest, Leads: len(s.leaders), AtMS: l.storeNow(),
+		QueueLengths: make(map[string]int), Services: make(map[string]ServiceLoad), Labels: l.workerLabels(),
+	}
+	for _, id := range l.workerIDs {
+		w := l.workers[id]
+		load := row.Services[w.entry.Service]
+		if w.acceptsStarts() {
+			load.FreeMilliCores += w.entry.Capacity.MilliCores - w.reserved.MilliCores
+			load.IdleMilliCores += max(w.idleMilliCores(), 0)
+		}
+		row.Services[w.entry.Service] = load
+	}
+	for _, j := range l.openJobs {
+		if !j.schedulable() {
+			continue
+		}
+		if !j.started {
+			row.QueueLengths[j.Queue]++
+		}
+		service := s.config.policyOf(&j.Job).Service
+		load := row.Services[service]
+		load.subtractWaiting(j)
+		row.Services[service] = load
+	}
+	return row
+}
+
+// subtractWaiting subtracts what the waiting tasks of a job request whose turn has
+// come.
+func (load *ServiceLoad) subtractWaiting(j *job) {
+	for occurrence, steps := range j.waitingByStep {
+		for i, waiting := range steps {
+			if waiting == 0 || !j.stepReady(occurrence, i) {
+				continue
+			}
+			load.subtract(&j.Steps[i], waiting)
+		}
+	}
+}
+
+// subtract subtracts what tasks of a step request.
+func (load *ServiceLoad) subtract(step *structs.Step, tasks int) {
+	amount := int64(tasks) * step.Request.MilliCores
+	load.IdleMilliCores -= amount
+	if !step.BestEffort {
+		load.FreeMilliCores -= amount
+	}
+}
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -25,6 +25,7 @@
 	lastRequest      RequestID
 	submittedJobs    map[structs.JobID]structs.Job
 	oracle           oracle
+	shardWorkers     int                       // workers for which a shard is added; 0: there is one
 	adviceAllowed    map[structs.WorkerID]bool // workers that the advice service allows
 	adviceInFlight   bool                      // an advice request is being answered
 	adviceRequests   int
@@ -68,8 +69,13 @@
 }
 
 func newSimulation(t rapid.TB, hosts, workers int) *simulation {
+	return newShardedSimulation(t, hosts, workers, 0)
+}
+
+// newShardedSimulation returns a simulation with a shard for each shardWorkers workers.
+func newShardedSimulation(t rapid.TB, hosts, workers, shardWorkers int) *simulation {
 	sim := &simulation{
-		t: t, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
+		t: t, shardWorkers: shardWorkers, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
 		submittedJobs: make(map[structs.JobID]structs.Job), checkpointedWork: make(map[structs.TaskRef]time.Duration),
 	}
 	sim.oracle.init(sim)
@@ -152,7 +158,7 @@
 	h.state, h.alive, h.frozen, h.deferred, h.started = NewState(), true, false, nil, h.sim.now
 	h.deliver(Started{
 		Host: h.name, Instance: structs.InstanceID(fmt.Sprintf("%s-%d", h.name, h.incarnation)),
-		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: testBounds,
+		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: testBounds, ShardWorkers: h.sim.shardWorkers,
 	})
 }
 
@@ -347,30 +353,42 @@
 	return p.State
 }
 
-// leader returns the host with a valid leader lease, or nil.
-func (sim *simulation) leader() *fakeHost {
+// leader returns the host with a valid leader lease of shard 0, or nil.
+func (sim *simulation) leader() *fakeHost { return sim.leaderOf(0) }
+
+// leaderOf returns the host with a valid leader lease of a shard, or nil.
+func (sim *simulation) leaderOf(shard ShardID) *fakeHost {
 	for _, h := range sim.hosts {
-		if h.alive && !h.frozen && h.state.leader != nil && h.state.leader.leaseValid() {
+		if l := h.state.leaderOf(shard); h.alive && !h.frozen && l != nil && l.leaseValid() {
 			return h
 		}
 	}
 	return nil
 }
 
-// waitForLeader waits until a leader may start tasks on all workers.
+// shards returns the number of shards in the stored plan.
+func (sim *simulation) shards() int {
+	plan, _ := sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
+	return plan.Shards
+}
+
+// waitForLeader waits until leaders may start tasks on all workers.
 func (sim *simulation) waitForLeader() {
 	sim.t.Helper()
-	sim.waitFor(10*time.Second, "a leader", func() bool {
-		h := sim.leader()
-		if h == nil || !h.state.leader.isLoaded() {
-			return false
-		}
-		for _, id := range h.state.leader.workerIDs {
-			if !h.state.leader.workers[id].used {
+	sim.waitFor(10*time.Second, "a leader of each shard", func() bool {
+		used := 0
+		for id := range ShardID(sim.shards()) {
+			h := sim.leaderOf(id)
+			if h == nil || !h.state.leaderOf(id).isLoaded() {
 				return false
 			}
+			for _, w := range h.state.leaderOf(id).workers {
+				if w.used {
+					used++
+				}
+			}
 		}
-		return len(h.state.leader.workerIDs) == len(sim.workers)
+		return used == len(sim.workers)
 	})
 }
 
@@ -394,8 +412,8 @@
 }
 
 // oracle checks the invariants: no task runs twice at once or after its end was
-// acknowledged, each start is covered by a stored claim, and its specification is
-// the one that was submitted.
+// acknowledged, each start is covered by a stored claim and on a worker of the job's
+// shard, and its specification is the one that was submitted.
 type oracle struct {
 	sim  *simulation
 	done map[structs.TaskRef]bool // tasks whose successful end was acknowledged
@@ -417,8 +435,14 @@
 			}
 		}
 	}
-	if p, _ := o.sim.store.get(TableProgress, string(e.Task.Job)).(ProgressRow); p.ClaimEpoch < e.Epoch {
-		t.Fatalf("%v: %s started in epoch %d before the claim was stored", o.sim.now, taskName(e.Task), e.Epoch)
+	row, _ := o.sim.store.get(TableJobs, string(e.Task.Job)).(JobRow)
+	partition := ShardID(row.Shard).partition()
+	if p, _ := o.sim.store.rows[fakeRowID{TableProgress, partition, string(e.Task.Job)}].Value.(ProgressRow); p.ClaimEpoch < e.Epoch || p.Moving {
+		t.Fatalf("%v: %s started in epoch %d of shard %d with the claim %d, moving %v", o.sim.now, taskName(e.Task), e.Epoch, row.Shard, p.ClaimEpoch, p.Moving)
+	}
+	plan, _ := o.sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
+	if got := plan.Racks[f.rack]; got != ShardID(row.Shard) {
+		t.Fatalf("%v: %s of shard %d started on %s of shard %d", o.sim.now, taskName(e.Task), row.Shard, f.id, got)
 	}
 	job, ok := o.sim.submittedJobs[e.Task.Job]
 	if !ok || job.Spec != e.Spec {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/timers"
@@ -22,21 +23,22 @@
 
 	timers timers.Queue[func()]
 
-	store      storeHealth
-	config     configState
-	requests   requestState
-	leadership leadership
-	stopping   bool
-	ready      bool
-	watches    map[Table]*watch
+	store    storeHealth
+	config   configState
+	requests requestState
+	shards   shardView
+	stopping bool
+	ready    bool
+	watches  map[watchKey]*watch
 
-	leader *leaderState // nil unless this host schedules
+	leaders []*leaderState // of the shards that this host schedules, by shard
 }
 
 // NewState returns the state before the first event, which must be Started.
 func NewState() *State {
 	return &State{
-		handlers: make(map[EffectID]func(EventBody)), requests: newRequestState(), watches: make(map[Table]*watch),
+		handlers: make(map[EffectID]func(EventBody)), requests: newRequestState(), watches: make(map[watchKey]*watch),
+		shards: newShardView(),
 	}
 }
 
@@ -78,8 +80,8 @@
 // runDeferred does the work that handlers of the event have requested, once for
 // each event.
 func (s *State) runDeferred() {
-	if s.leader != nil {
-		s.leader.runDeferred()
+	for _, l := range slices.Clone(s.leaders) { // a leader may step down meanwhile
+		l.runDeferred()
 	}
 	s.updateReady()
 }
@@ -87,8 +89,8 @@
 func (s *State) handleStarted(b Started) {
 	s.self, s.bounds = b, b.Bounds
 	s.logDecision(Decision{Part: "host", Action: "started", Subject: b.Host, Where: string(b.Instance)})
-	s.watchTable(TableOperator, s.applyConfigRows, nil)
-	s.leadership.pollLease(s)
+	s.watchTable(watchKey{table: TableOperator}, s.applyConfigRows, nil)
+	s.pollShards()
 }
 
 // deliverOutcome passes the outcome of an effect to its handler.
@@ -118,16 +120,21 @@
 }
 
 // jittered returns a duration between three quarters and five quarters of d, so
-// that hosts that started together do not act at the same times. The duration is
-// a function of the process's seed and the number of earlier draws.
+// that hosts that started together do not act at the same times.
 func (s *State) jittered(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(s.draw()%uint64(d/2))
+}
+
+// draw returns the next random number of the process, a function of its seed and the
+// number of earlier draws.
+func (s *State) draw() uint64 {
 	var draw [16]byte
 	s.randomDraws++
 	binary.LittleEndian.PutUint64(draw[:], s.self.Seed)
 	binary.LittleEndian.PutUint64(draw[8:], s.randomDraws)
 	h := fnv.New64a()
 	h.Write(draw[:])
-	return d*3/4 + time.Duration(h.Sum64()%uint64(d/2))
+	return h.Sum64()
 }
 
 func (s *State) fireTimers() {
@@ -161,8 +168,8 @@
 	}
 	s.stopping = true
 	s.logDecision(Decision{Part: "host", Action: "planned stop began", Subject: s.self.Host})
-	if s.leader != nil {
-		s.leader.releaseLeadership("planned stop")
+	for _, l := range slices.Clone(s.leaders) {
+		l.releaseLeadership("planned stop")
 	}
 	s.after(min(stopServeTime, s.bounds.StopGracePeriod/2), func() {
 		s.logDecision(Decision{Part: "host", Action: "planned stop ended", Subject: s.self.Host})
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -103,30 +103,47 @@
 // watch follows one table: it reads all rows once and then waits for changes.
 // It reads all rows again when the store has discarded the history that it needs.
 type watch struct {
-	table            Table
-	onRows           func(rows []Row, all bool) // all: rows is the whole table
-	onLoaded         func()                     // called once after the first complete read; may be nil
-	active           bool
-	afterVersion     structs.Version
-	snapshot         []Row
-	firstPageVersion structs.Version // version of the first page of a read
+	table             Table
+	onRows            func(rows []Row, all bool) // all: rows is the whole table
+	onLoaded          func()                     // called once after the first complete read; may be nil
+	active            bool
+	afterVersion      structs.Version
+	snapshot          []Row
+	oldestPage        structs.Version // lowest version of the pages of a read
+	loadingPartitions Partition       // partitions whose read is not complete
+}
+
+// watchKey identifies a watch. Each leader of a host has its own; those of the host
+// itself belong to shard 0.
+type watchKey struct {
+	table Table
+	shard ShardID
 }
 
 // watchTable follows a table until stopWatch.
-func (s *State) watchTable(t Table, rows func([]Row, bool), loaded func()) {
-	w := &watch{table: t, onRows: rows, onLoaded: loaded, active: true}
-	s.watches[t] = w
-	w.load(s, 0, "")
+func (s *State) watchTable(key watchKey, rows func([]Row, bool), loaded func()) {
+	w := &watch{table: key.table, onRows: rows, onLoaded: loaded, active: true}
+	s.watches[key] = w
+	w.loadAll(s)
 }
 
-func (s *State) stopWatch(t Table) {
-	if w := s.watches[t]; w != nil {
+func (s *State) stopWatch(key watchKey) {
+	if w := s.watches[key]; w != nil {
 		w.active = false
-		delete(s.watches, t)
+		delete(s.watches, key)
 	}
 }
 
-// load reads the table, starting at a key of a partition.
+// loadAll reads all partitions of the table at once: one after another would take
+// too long while the store is slow.
+func (w *watch) loadAll(s *State) {
+	w.snapshot, w.oldestPage, w.loadingPartitions = nil, 0, w.table.loadedPartitions()
+	for part := range w.table.loadedPartitions() {
+		w.load(s, part, "")
+	}
+}
+
+// load reads a partition of the table, starting at a key.
 func (w *watch) load(s *State, part Partition, from string) {
 	if !w.active {
 		return
@@ -139,17 +156,16 @@
 			s.after(s.jittered(storeRetryDelay), func() { w.load(s, part, from) })
 			return
 		}
-		if part == 0 && from == "" {
-			w.snapshot, w.firstPageVersion = nil, r.Version
+		if w.oldestPage == 0 || r.Version < w.oldestPage {
+			w.oldestPage = r.Version
 		}
 		w.snapshot = append(w.snapshot, r.Rows...)
-		switch {
-		case r.More && len(r.Rows) > 0:
+		if r.More && len(r.Rows) > 0 {
 			// The next page begins right after the last key of this one.
 			w.load(s, part, r.Rows[len(r.Rows)-1].Key+"\x00")
-		case part+1 < w.table.partitions():
-			w.load(s, part+1, "")
-		default:
+			return
+		}
+		if w.loadingPartitions--; w.loadingPartitions == 0 {
 			w.loadDone(s)
 		}
 	})
@@ -157,7 +173,7 @@
 
 func (w *watch) loadDone(s *State) {
 	rows := w.snapshot
-	w.snapshot, w.afterVersion = nil, w.firstPageVersion
+	w.snapshot, w.afterVersion = nil, w.oldestPage
 	w.onRows(rows, true)
 	if loaded := w.onLoaded; loaded != nil {
 		w.onLoaded = nil
@@ -183,7 +199,7 @@
 	case r.HistoryDiscarded:
 		s.store.observe(s, structs.OutcomeDone)
 		s.logDecision(Decision{Part: "store", Action: "history gone, reading the table again", Subject: w.table.String(), Number: uint64(w.afterVersion)})
-		w.load(s, 0, "")
+		w.loadAll(s)
 	case r.Outcome != structs.OutcomeDone:
 		s.store.observe(s, r.Outcome)
 		s.after(s.jittered(storeRetryDelay), func() { w.wait(s) })
@@ -216,8 +232,8 @@
 		return "progress"
 	case TableCancels:
 		return "cancels"
-	case TableQueues:
-		return "queues"
+	case TableShards:
+		return "shards"
 	}
 	return "unknown"
 }
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -57,6 +57,7 @@
 // applyWorkerRows applies rows of the platform's list of workers.
 func (l *leaderState) applyWorkerRows(rows []Row, all bool) {
 	if all {
+		clear(l.entries)
 		for _, id := range l.workerIDs {
 			l.workers[id].listed = false
 		}
@@ -66,19 +67,25 @@
 		v, ok := r.Value.(WorkerRow)
 		switch {
 		case r.Removed:
+			delete(l.entries, id)
 			if w := l.workers[id]; w != nil {
 				w.listed = false
 				l.state.logDecision(Decision{Part: "worker", Action: "left the list", Subject: r.Key, Number: uint64(r.Version)})
 			}
 		case !ok:
+			delete(l.entries, id)
 			if w := l.workers[id]; w != nil {
 				w.listed = false
 			}
 			l.logUnreadable(TableWorkers, r, "worker", "entry cannot be read")
 		default:
-			l.applyEntry(id, v.WorkerEntry)
+			l.entries[id] = v.WorkerEntry
+			if l.isMine(id, &v.WorkerEntry) {
+				l.applyEntry(id, v.WorkerEntry)
+			}
 		}
 	}
+	l.assignRacks()
 	l.schedule.requestPass()
 }
 
@@ -91,11 +98,13 @@
 	if !w.listed {
 		l.state.logDecision(Decision{Part: "worker", Action: "listed", Subject: string(id), Where: e.Address})
 	}
+	// Entries are written with each heartbeat; only a changed one is worth a sync.
+	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining
 	w.entry, w.listed = e, true
 	if w.incarnation != 0 && e.Incarnation != 0 && e.Incarnation > w.incarnation {
 		w.handleRestart(e.Incarnation)
 	}
-	if l.isLoaded() {
+	if changed && l.isLoaded() {
 		w.syncSoon()
 	}
 }
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -35,7 +35,9 @@
 	Spec        string  `json:"spec,omitempty"` // passed to workers uninterpreted
 	Steps       []Step  `json:"steps"`
 	Repeat      *Repeat `json:"repeat,omitempty"`
-	SubmittedMS int64   `json:"wall"` // submission time at the accepting host, Unix milliseconds
+	SubmittedMS int64   `json:"wall"`                 // submission time at the accepting host, Unix milliseconds
+	Shard       int     `json:"shard,omitempty"`      // shard that schedules it
+	MovedFrom   []int   `json:"moved_from,omitempty"` // shards that scheduled it before and started none of its tasks
 }
 
 // Repeat schedules occurrences of all steps of a job. Occurrence K, counted from
@@ -131,6 +133,10 @@
 	Done        []byte         `json:"done,omitempty"`        // bitmap of the tasks that ended with success
 	Failures    map[int][]Run  `json:"failures,omitempty"`    // distinct failed runs by task
 	Checkpoints map[int]string `json:"checkpoints,omitempty"` // object names by task, for tasks that are not done
+	// Moving is set when the shard gives the job to the shard MovingTo. It never
+	// starts tasks of the job from then on.
+	Moving   bool `json:"moving,omitempty"`
+	MovingTo int  `json:"moving_to,omitempty"`
 }
 
 // IsDone reports whether the task with this number has ended with success.
@@ -170,6 +176,7 @@
 	Draining    bool
 	Capacity    Resources
 	Labels      []string      // kind and rack of the worker
+	Rack        string        // empty: not known
 	Incarnation int64         // start time, Unix milliseconds; distinguishes successive workers with the same id
 	LeavesIn    time.Duration // of a draining worker: minimum time until it leaves
 }
--- a/core/structs/resources.go
+++ b/core/structs/resources.go
@@ -17,6 +17,18 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns how often one fits into r.
+func (r Resources) Times(one Resources) int {
+	const unlimited = 1 << 20
+	n := int64(unlimited)
+	for _, c := range [...]struct{ have, need int64 }{{r.MilliCores, one.MilliCores}, {r.MemoryMB, one.MemoryMB}, {r.Accelerators, one.Accelerators}} {
+		if c.need > 0 {
+			n = min(n, max(c.have, 0)/c.need)
+		}
+	}
+	return int(n)
+}
+
 // Fits reports whether r is at most o in every component.
 func (r Resources) Fits(o Resources) bool {
 	return r.MilliCores <= o.MilliCores && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
--- a/entry/cmd/tamarackstep/main.go
+++ b/entry/cmd/tamarackstep/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -49,6 +50,8 @@
 	platformCommand := app.Command("platform", "Run a host on the users' platform until a signal ends it.")
 	logLevel := platformCommand.Flag("log-level", "Lowest level of log lines: debug, info, warn or error.").Default("info").
 		Enum("debug", "info", "warn", "error")
+	shardWorkers := platformCommand.Flag("shard-workers", "Number of workers for which a further shard is added; 0: one shard for all workers.").
+		Default(strconv.Itoa(defaultShardWorkers)).Uint16()
 	checkCommand := app.Command("check-settings", "Check a settings file and report all its faults.")
 	checkedFile := checkCommand.Arg("file", "Settings file (TOML).").Required().String()
 	isPlatformFile := checkCommand.Flag("platform", "The file is one that the users' platform writes.").Bool()
@@ -71,7 +74,7 @@
 	case runCommand.FullCommand():
 		return runHost(*settingsFile, *recordFile, stderr)
 	case platformCommand.FullCommand():
-		return runOnPlatform(*logLevel, stdout, stderr)
+		return runOnPlatform(*logLevel, int(*shardWorkers), stdout, stderr)
 	case checkCommand.FullCommand():
 		return checkSettings(*checkedFile, *isPlatformFile, stdout, stderr)
 	case replayCommand.FullCommand():
--- a/entry/cmd/tamarackstep/platform.go
+++ b/entry/cmd/tamarackstep/platform.go
@@ -21,13 +21,16 @@
 	// platformGCPercent trades memory for processor time: a host has plenty of
 	// memory and little processor time.
 	platformGCPercent = 300
+	// defaultShardWorkers divides the workers so that a leader needs a fraction of a
+	// processor, and a shard still has room for wide jobs.
+	defaultShardWorkers = 128
 	// memoryLimitPercent is the soft memory limit of the Go runtime, in percent
 	// of the machine's memory. The collector runs more often near the limit.
 	memoryLimitPercent = 70
 )
 
 // runOnPlatform runs a host on the platform whose settings the environment names.
-func runOnPlatform(levelName string, stdout, stderr io.Writer) int {
+func runOnPlatform(levelName string, shardWorkers int, stdout, stderr io.Writer) int {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		fmt.Fprintf(stderr, "tamarackstep: %v\n", err)
@@ -52,7 +55,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log.Info("host: starting", "host", s.Host, "callers", s.Callers, "store", s.Store)
-	err = platformhost.New(s, log, queue).Run(signals)
+	err = platformhost.New(s, shardWorkers, log, queue).Run(signals)
 	if err != nil {
 		log.Error("host: ended", "error", err.Error())
 	} else {
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -29,7 +29,7 @@
 
 	storeConcurrency   = 64   // calls to the store at once
 	storeQueueSize     = 512  // calls to the store that wait; a full queue refuses callers
-	watchConcurrency   = 8    // one for each table that is watched
+	watchConcurrency   = 256  // one for each table that the host and its leaders watch
 	syncConcurrency    = 512  // workers that are synchronized at once
 	startConcurrency   = 128  // start commands to workers at once
 	startQueueSize     = 1024 // start commands that wait; the reducer orders no more at a time
@@ -56,10 +56,14 @@
 // Host is the process of one entry host on the users' platform.
 type Host struct {
 	settings platform.Settings
-	log      *slog.Logger
-	loop     *loop.Loop[scheduler.EventBody, scheduler.Effect]
-	clock    func() time.Duration
-	metrics  *telemetry.Telemetry
+	// shardWorkers is the number of workers for which a shard is added; 0: there is
+	// one shard.
+	shardWorkers int
+
+	log     *slog.Logger
+	loop    *loop.Loop[scheduler.EventBody, scheduler.Effect]
+	clock   func() time.Duration
+	metrics *telemetry.Telemetry
 
 	store   *platform.Store
 	workers *platform.Workers
@@ -72,9 +76,9 @@
 }
 
 // New returns a host that does not run yet. LogQueue is the queue behind log.
-func New(s platform.Settings, log *slog.Logger, logQueue *logging.Queue) *Host {
+func New(s platform.Settings, shardWorkers int, log *slog.Logger, logQueue *logging.Queue) *Host {
 	h := &Host{
-		settings: s, log: log, clock: bootClock(), metrics: telemetry.New(), stopped: make(chan struct{}),
+		settings: s, shardWorkers: shardWorkers, log: log, clock: bootClock(), metrics: telemetry.New(), stopped: make(chan struct{}),
 		pools: make(map[string]*runner.Pool[scheduler.EventBody]),
 	}
 	h.loop = loop.NewWithClock[scheduler.EventBody, scheduler.Effect](
@@ -121,7 +125,7 @@
 	_, _ = rand.Read(seed[:]) // never fails
 	return scheduler.Started{
 		Host: h.settings.Host, Instance: structs.InstanceID(rand.Text()), Seed: binary.LittleEndian.Uint64(seed[:]),
-		Processors: h.settings.Processors, Bounds: h.settings.Bounds,
+		Processors: h.settings.Processors, ShardWorkers: h.shardWorkers, Bounds: h.settings.Bounds,
 	}
 }
 
--- a/standin/cmd/jobload/main.go
+++ b/standin/cmd/jobload/main.go
@@ -18,6 +18,7 @@
 	program := app.Flag("program", "Scheduler program.").Default("bin/tamarackstep").String()
 	hosts := app.Flag("hosts", "Host processes.").Default("3").Int()
 	workers := app.Flag("workers", "Workers.").Default("100").Int()
+	shardWorkers := app.Flag("shard-workers", "Workers for which a further shard is added; 0: one shard.").Default("0").Int()
 	rate := app.Flag("jobs", "Jobs per second.").Default("10").Float64()
 	tasks := app.Flag("tasks", "Tasks of each job.").Default("20").Int()
 	cpu := app.Flag("cpu", "Thousandths of a processor that each task requests.").Default("500").Int64()
@@ -26,7 +27,7 @@
 	folder := app.Flag("folder", "Folder for logs and settings; a temporary one by default.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	load := soak.Load{JobsPerSecond: *rate, TasksPerJob: *tasks, TaskMilliCores: *cpu, Work: *work, Length: *length}
-	if err := run(load, soak.Size{Hosts: *hosts, Workers: *workers}, *program, *folder); err != nil {
+	if err := run(load, soak.Size{Hosts: *hosts, Workers: *workers, ShardWorkers: *shardWorkers}, *program, *folder); err != nil {
 		fmt.Fprintln(os.Stderr, "jobload:", err)
 		os.Exit(1)
 	}
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -54,6 +54,7 @@
 type Worker struct {
 	ID, Address string
 	Service     string
+	Rack        string
 	MilliCores  int64   // capacity in thousandths of a processor
 	ClockRate   float64 // speed of its clock relative to real time
 
@@ -80,8 +81,8 @@
 
 // NewWorker returns a worker that registers in the store when it boots. clockRate
 // is the speed of its clock relative to real time.
-func NewWorker(id, address, service string, milliCores int64, clockRate float64, store *Store, checker *Checker) *Worker {
-	return &Worker{ID: id, Address: address, Service: service, MilliCores: milliCores, ClockRate: clockRate, store: store, checker: checker, wakeup: make(chan struct{})}
+func NewWorker(id, address, service, rack string, milliCores int64, clockRate float64, store *Store, checker *Checker) *Worker {
+	return &Worker{ID: id, Address: address, Service: service, Rack: rack, MilliCores: milliCores, ClockRate: clockRate, store: store, checker: checker, wakeup: make(chan struct{})}
 }
 
 // Boot starts a new incarnation of the worker, which keeps no state of earlier
@@ -141,7 +142,7 @@
 	}
 	entry := map[string]any{
 		"Service": w.Service, "Address": w.Address, "State": state, "RemainingMs": 2000, "born": w.bootedMS,
-		"Capacity": map[string]any{"Cpu": w.MilliCores, "MemMb": 64000}, "Labels": []string{"a", "r1"},
+		"Capacity": map[string]any{"Cpu": w.MilliCores, "MemMb": 64000}, "Labels": []string{"a", w.Rack},
 	}
 	w.mu.Unlock()
 	value, err := json.Marshal(entry)
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,8 +26,12 @@
 	failureLogLines  = 400 // printed per host after a failure
 )
 
-// Size is the number of host processes and workers of a run.
-type Size struct{ Hosts, Workers int }
+// Size is the number of host processes and workers of a run. A shard is added for each
+// ShardWorkers workers; 0: there is one.
+type Size struct{ Hosts, Workers, ShardWorkers int }
+
+// workersPerRack is the number of workers of a rack.
+const workersPerRack = 2
 
 // host is one scheduler process. It reaches the store through its own proxy.
 type host struct {
@@ -37,6 +42,7 @@
 	storeProxy    *Proxy
 	callerAddress string
 	settingsPath  string
+	shardWorkers  int
 
 	mu      sync.Mutex
 	process *deployment.Process
@@ -78,7 +84,7 @@
 		}
 	}
 	for i := range size.Hosts {
-		if err := c.addHost(i, program, address); err != nil {
+		if err := c.addHost(i, program, address, size.ShardWorkers); err != nil {
 			return nil, err
 		}
 	}
@@ -117,7 +123,7 @@
 		return oops.Wrapf(err, "start the proxy of worker %d", number)
 	}
 	rate := slowestClockRate + 0.01*float64(number%5)
-	w.Worker = jobplatform.NewWorker(fmt.Sprintf("w%02d", number), w.proxy.Address(), workerService, workerMilliCores, rate, c.Store, c.Checker)
+	w.Worker = jobplatform.NewWorker(fmt.Sprintf("w%02d", number), w.proxy.Address(), workerService, fmt.Sprintf("r%d", number/workersPerRack), workerMilliCores, rate, c.Store, c.Checker)
 	w.Boot()
 	c.workers = append(c.workers, w)
 	return nil
@@ -139,8 +145,8 @@
 	return c.addWorker(100 + c.retiredWorkers)
 }
 
-func (c *Cluster) addHost(number int, program, storeAddress string) error {
-	h := &host{name: fmt.Sprintf("host%d", number), folder: c.folder, program: program, ip: fmt.Sprintf("127.0.1.%d", number+1)}
+func (c *Cluster) addHost(number int, program, storeAddress string, shardWorkers int) error {
+	h := &host{shardWorkers: shardWorkers, name: fmt.Sprintf("host%d", number), folder: c.folder, program: program, ip: fmt.Sprintf("127.0.1.%d", number+1)}
 	var err error
 	if h.storeProxy, err = NewProxy(storeAddress); err != nil {
 		return oops.Wrapf(err, "start the store proxy of %s", h.name)
@@ -196,7 +202,7 @@
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p, err := deployment.StartLogged(h.name, h.program, h.folder, []string{"TAMARACKSTEP_BOOT=" + h.settingsPath}, "platform")
+	p, err := deployment.StartLogged(h.name, h.program, h.folder, []string{"TAMARACKSTEP_BOOT=" + h.settingsPath}, "platform", "--shard-workers", strconv.Itoa(h.shardWorkers))
 	h.process, h.frozen = p, false
 	return err
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -16,7 +16,14 @@
 // the cause.
 var ciSeeds = []uint64{1, 2}
 
-var defaultSize = Size{Hosts: 3, Workers: 5}
+// defaultSize returns the size of a run: seeds with odd numbers run with three shards.
+func defaultSize(seed uint64) Size {
+	size := Size{Hosts: 3, Workers: 5}
+	if seed%2 == 1 {
+		size.ShardWorkers = 2
+	}
+	return size
+}
 
 // buildProgram compiles the scheduler.
 func buildProgram(t *testing.T) string {
@@ -62,7 +69,7 @@
 	for _, seed := range ciSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, defaultSize, program)
+			runSeed(t, seed, defaultSize(seed), program)
 		})
 	}
 }
@@ -81,18 +88,18 @@
 	}
 	size := defaultSize
 	if hosts, err := strconv.Atoi(os.Getenv("SOAK_HOSTS")); err == nil {
-		size = Size{Hosts: hosts, Workers: 2 * hosts}
+		size = func(uint64) Size { return Size{Hosts: hosts, Workers: 2 * hosts, ShardWorkers: max(hosts/2, 1)} }
 	}
 	program := buildProgram(t)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, size, program)
+			runSeed(t, seed, size(seed), program)
 		})
 	}
 	for began := time.Now(); time.Since(began) < time.Duration(seconds)*time.Second; {
 		seed := rand.Uint64N(1 << 32)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, size, program) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, size(seed), program) })
 	}
 }
 
