--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -247,9 +247,13 @@
 	if !stronger && !lessBusy {
 		return
 	}
+	action := "asked a weaker host for the lead"
+	if !stronger {
+		action = "asked a busier host for the lead"
+	}
 	row := ChallengeRow{Host: s.self.Host, Epoch: load.Epoch, Processors: s.self.Processors, Leads: len(s.leaders)}
 	l.challengedEpoch = load.Epoch
-	s.logDecision(Decision{Part: "leader", Action: "asked another host for the lead", Subject: s.self.Host, Where: load.Host, Reason: l.shard.String(), Number: uint64(row.Epoch)})
+	s.logDecision(Decision{Part: "leader", Action: action, Subject: s.self.Host, Where: load.Host, Reason: l.shard.String(), Number: uint64(row.Epoch)})
 	s.commit(Commit{Writes: []Write{{TableControl, l.shard.partition(), KeyChallenge, row}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
 			s.logDecision(Decision{Part: "leader", Action: "request for the lead did not reach the store", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -203,6 +203,15 @@
 	return structs.OutcomeUnknown
 }
 
+// metricPart returns the label of a pool's requests in metrics. All commands to
+// workers share one, whichever pool sends them.
+func metricPart(pool string) string {
+	if pool == startPool {
+		return commandPool
+	}
+	return pool
+}
+
 // submit runs one request on a pool. NotRun is the event for a request that was
 // never started.
 func (h *Host) submit(pool, step, peer string, timeout time.Duration, request effectRequest, notRun scheduler.EventBody) {
@@ -212,7 +221,7 @@
 			start := time.Now()
 			body, err := request(ctx)
 			outcome := outcomeOf(body)
-			h.metrics.RecordRequest(pool, step, outcome, time.Since(start))
+			h.metrics.RecordRequest(metricPart(pool), step, outcome, time.Since(start))
 			if err != nil {
 				// The reducer logs the consequence of a failure; its cause is logged
 				// for debugging only.
