scheduler: keep room for persistent tasks, plan shards once the list is complete

(2) The number of shards followed the first entries of a list that was still filling: 5 for 1,100 workers in place of 9.

The first plan waits until the list brings no new worker for 0.8 s. A host that leads a shard leaves a new one to others for 1.2 s.

--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -31,6 +31,7 @@
 	remainingTasks     int     // number of tasks that are not done
 	waitingByStep      [][]int // number of tasks that are not done and have no run, by occurrence and step
 	waitingTasks       int     // number of tasks that are not done and have no run
+	waitingSince       Instant // since when one of its tasks has waited for a run
 	activeRuns         int     // number of runs that occupy workers
 	lastRunEndedAt     Instant // when the last run ended
 
@@ -83,7 +84,7 @@
 }
 
 // setRun sets the current run of a task; nil: it has none.
-func (j *job) setRun(ref structs.TaskRef, r *run) {
+func (j *job) setRun(ref structs.TaskRef, r *run, now Instant) {
 	n, _ := j.taskNumber(ref)
 	t := &j.tasks[n]
 	if !j.IsDone(n) {
@@ -91,6 +92,9 @@
 		case t.run == nil && r != nil:
 			j.addWaiting(ref, -1)
 		case t.run != nil && r == nil:
+			if j.waitingTasks == 0 {
+				j.waitingSince = now
+			}
 			j.addWaiting(ref, 1)
 		}
 	}
@@ -263,7 +267,7 @@
 	if j.admitted {
 		return
 	}
-	j.admitted, j.admittedAt = true, l.state.now
+	j.admitted, j.admittedAt, j.waitingSince = true, l.state.now, l.state.now
 	if p, ok := l.loadedProgress[j.ID]; ok {
 		j.restore(p)
 	}
@@ -375,6 +379,7 @@
 	t.notBefore = l.state.now + retryDelay
 	l.schedule.requestPassAt(t.notBefore)
 	if j.Steps[ref.Step].Persistent {
+		w.keepFree(j, restartHoldTime)
 		return
 	}
 	if slices.Contains(j.Failures[n], id) {
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -26,12 +26,14 @@
 	loadingTables map[Table]bool // tables whose first read is not complete
 	loadedAt      Instant        // when all tables had been read; 0: not yet
 
-	jobs      map[structs.JobID]*job
-	openJobs  []*job                                   // admitted jobs that are not final, in order of admission
-	entries   map[structs.WorkerID]structs.WorkerEntry // the platform's list, with the workers of all shards
-	workers   map[structs.WorkerID]*worker             // of this shard
-	workerIDs []structs.WorkerID                       // of workers, sorted
-	cancelled map[structs.JobID]bool                   // cancellations of jobs of all shards
+	jobs            map[structs.JobID]*job
+	openJobs        []*job                                   // admitted jobs that are not final, in order of admission
+	entries         map[structs.WorkerID]structs.WorkerEntry // the platform's list, with the workers of all shards
+	entriesAtGrowth int                                      // number of entries when it last changed, before the first plan
+	entriesGrewAt   Instant
+	workers         map[structs.WorkerID]*worker // of this shard
+	workerIDs       []structs.WorkerID           // of workers, sorted
+	cancelled       map[structs.JobID]bool       // cancellations of jobs of all shards
 
 	// unreconciled holds the workers that former leaders used and whose runs are
 	// neither known nor certainly over. Tasks that a former leader may have
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -41,6 +41,9 @@
 	// to maxFirstTakeoverDelay.
 	firstTakeoverDelay    = 100 * time.Millisecond
 	maxFirstTakeoverDelay = time.Second
+	// firstBusyDelay replaces busyTakeoverDelay for such a shard: other hosts learn of
+	// it with their next poll and take it with the one after that.
+	firstBusyDelay = 1200 * time.Millisecond
 	// challengeDelay is how long a leader has led before another host asks it to
 	// release leadership.
 	challengeDelay = 2 * time.Second
@@ -225,9 +228,10 @@
 // takeoverDelay returns how long this host leaves a vacant shard to hosts that lead
 // fewer shards and, if it has never had a leader, to stronger ones.
 func (l *leadership) takeoverDelay(s *State) time.Duration {
-	delay := time.Duration(len(s.leaders)) * busyTakeoverDelay
+	led := time.Duration(len(s.leaders))
+	delay := led * busyTakeoverDelay
 	if l.leader.Epoch == 0 {
-		delay += min(time.Duration(float64(firstTakeoverDelay)/max(s.self.Processors, 0.01)), maxFirstTakeoverDelay)
+		delay = led*firstBusyDelay + min(time.Duration(float64(firstTakeoverDelay)/max(s.self.Processors, 0.01)), maxFirstTakeoverDelay)
 	}
 	return delay
 }
--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -140,6 +140,12 @@
 	l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
 }
 
+// mayMove reports whether a job that finds no room may still be given to another shard
+// soon.
+func (j *job) mayMove(now Instant) bool {
+	return j.ClaimEpoch == 0 && len(j.MovedFrom) < maxMoves && now-j.admittedAt <= moveDelay+2*loadInterval
+}
+
 // placeableAsWhole reports whether all tasks of a job's first step find room now. A
 // persistent job that does not fit is better off in another shard, since its tasks
 // hold what they get.
@@ -166,10 +172,7 @@
 // waitsForMove reports whether a job should not be started yet, because it fits
 // another shard better.
 func (l *leaderState) waitsForMove(j *job) bool {
-	if l.state.shards.count() == 1 || !j.Persistent() || j.ClaimEpoch > 0 || len(j.MovedFrom) >= maxMoves {
-		return false
-	}
-	if l.state.now-j.admittedAt > moveDelay+2*loadInterval || l.placeableAsWhole(j) {
+	if l.state.shards.count() == 1 || !j.Persistent() || !j.mayMove(l.state.now) || l.placeableAsWhole(j) {
 		return false
 	}
 	_, elsewhere := l.shardWithRoom(j, l.otherLoads())
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -18,19 +18,24 @@
 
 // filter reports whether a task may be started on a worker.
 func (l *leaderState) filter(w *worker, j *job, step *structs.Step, policy *structs.Policy) bool {
-	if w.entry.Service != policy.Service || !w.acceptsStarts() {
+	if w.entry.Service != policy.Service || !w.acceptsStarts() || !step.BestEffort && w.heldForOther(j) {
 		return false
 	}
 	if !reservation(step).Add(w.reserved).Fits(w.entry.Capacity) {
 		return false
 	}
-	if step.Label != "" && !slices.Contains(w.entry.Labels, step.Label) {
+	if !w.hasLabel(step.Label) {
 		return false
 	}
 	return !step.BestEffort || w.throttle.speedLimit == fullSpeed && w.idleMilliCores() >= step.Request.MilliCores ||
 		j.starved(l.state.now) && w.acceptsStarvedJob()
 }
 
+// hasLabel reports whether the worker has a label; all workers have the empty one.
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.entry.Labels, label)
+}
+
 // acceptsStarts reports whether tasks may be started on the worker now.
 func (w *worker) acceptsStarts() bool {
 	return w.listed && !w.entry.Draining && w.listsRead && w.used && w.failedSyncs == 0 && w.startsPausedUntil <= w.leader.state.now
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -41,10 +42,19 @@
 	l.schedule.requestPass()
 }
 
+const (
+	// planSettleTime is how long the list of workers must have brought no new rack
+	// before the first plan is made, so that the number of shards follows the whole
+	// deployment. It covers two watches of the list.
+	planSettleTime = 800 * time.Millisecond
+	// maxPlanDelay bounds the wait for the first plan.
+	maxPlanDelay = 4 * time.Second
+)
+
 // assignRacks assigns racks that the plan does not have, and adds shards as the number
 // of workers grows. The workers of a rack are used once the plan is stored.
 func (l *leaderState) assignRacks() {
-	if l.shard != plannerShard || !l.isLoaded() {
+	if l.shard != plannerShard || !l.isLoaded() || l.waitsForRacks() {
 		return
 	}
 	plan := l.state.shards.plan
@@ -82,6 +92,19 @@
 	l.state.logDecision(Decision{Part: "leader", Action: "racks assigned to shards", Subject: l.state.self.Host, Number: uint64(plan.Shards)})
 }
 
+// waitsForRacks reports whether the first plan should wait for further workers.
+func (l *leaderState) waitsForRacks() bool {
+	now := l.state.now
+	if l.state.shards.plan.Shards > 0 || len(l.entries) == 0 || l.state.self.ShardWorkers <= 0 {
+		return false
+	}
+	if len(l.entries) != l.entriesAtGrowth {
+		l.entriesAtGrowth, l.entriesGrewAt = len(l.entries), now
+		l.after(planSettleTime, l.assignRacks)
+	}
+	return now-l.entriesGrewAt < planSettleTime && now-l.loadedAt < maxPlanDelay
+}
+
 // wantedShards returns the number of shards for the listed workers.
 func (l *leaderState) wantedShards() int {
 	size := l.state.self.ShardWorkers
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -79,7 +79,7 @@
 		l.stopRun(r, "the task is done, running elsewhere, or its job has ended")
 		return r
 	}
-	j.setRun(a.Task, r)
+	j.setRun(a.Task, r, l.state.now)
 	l.markStarted(j)
 	l.state.logDecision(Decision{Part: "task", Action: "run adopted", Subject: taskName(a.Task), Where: string(w.id), Number: uint64(a.Run)})
 	return r
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -90,7 +90,7 @@
 		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
 		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n],
 	}
-	j.setRun(ref, r)
+	j.setRun(ref, r, l.state.now)
 	t.lastRun = max(t.lastRun, id)
 	w.addRun(r)
 	l.starts.sent(r, l.state.now)
@@ -236,7 +236,7 @@
 func (l *leaderState) discardRun(r *run) {
 	r.worker.removeRun(r)
 	if t := r.job.taskAt(r.ref); t.run == r {
-		r.job.setRun(r.ref, nil)
+		r.job.setRun(r.ref, nil, l.state.now)
 		t.runRemovedAt = l.state.now
 	}
 }
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -208,6 +208,7 @@
 			} else if j.Steps[step].PerWorker == 0 {
 				unplaceable[need] = true
 			}
+			l.holdWorkers(j, ref)
 			return
 		}
 		if !j.claimStored {
--- a/core/scheduler/shards_test.go
+++ b/core/scheduler/shards_test.go
@@ -291,3 +291,17 @@
 		}
 	}
 }
+
+// TestPlanWaitsForWorkers guards against a number of shards that follows the first few
+// entries of a list of workers that fills while the first leader reads it.
+func TestPlanWaitsForWorkers(t *testing.T) {
+	sim := newShardedSimulation(t, 2, 1, 4)
+	for i := range 11 {
+		sim.after(time.Duration(i)*150*time.Millisecond, func() { sim.addWorker(fmt.Sprintf("x%02d", i)) })
+	}
+	sim.advance(2 * time.Second)
+	sim.waitForLeader()
+	if got := sim.shards(); got != 3 {
+		t.Errorf("%d shards for 12 workers, want 3", got)
+	}
+}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -39,6 +40,9 @@
 	durableEnd  uint64 // number of the last end whose effect is stored
 	pendingAcks []pendingAck
 
+	heldFor   *job // job with a waiting persistent task that the worker is kept free for; nil: none
+	heldUntil Instant
+
 	leavesAt          Instant // of a draining worker: the earliest time at which it leaves
 	startsPausedUntil Instant
 	failStreak        int
@@ -49,6 +53,15 @@
 	throttle throttleState
 }
 
+// keepFree keeps the worker free of other jobs that reserve resources there.
+func (w *worker) keepFree(j *job, d time.Duration) {
+	if w.heldForOther(j) {
+		return
+	}
+	w.heldFor, w.heldUntil = j, w.leader.state.now+d
+	w.leader.schedule.requestPassAt(w.heldUntil)
+}
+
 // pendingAck is an end that can be acknowledged once a commit has been stored.
 type pendingAck struct {
 	end, batch uint64
