scheduler: a restart of a worker keeps the lease of a start in flight

A start that the next incarnation of a worker carried out granted a lease there, but the leader forgot all leases with the restart. When a sync that was sent before the restart timed out, the run counted as over and the task was started again.

Change: after a restart with starts in flight, leases are bounded by the longest that a worker grants.

--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -21,6 +21,14 @@
 	return time.Duration(float64(min(b.MaxLease, workerLease))/minClockRate) + b.StopTimeout + leaseEndSlack
 }
 
+// boundLeases records that a command that the next incarnation of the worker carries
+// out may have granted a lease there. Its end was computed with the clock of the former
+// incarnation, so that only the longest lease that a worker grants bounds it.
+func (w *worker) boundLeases() {
+	b := w.leader.state.bounds
+	w.leasesEndBy = w.leader.state.now + time.Duration(float64(b.MaxLease)/minClockRate) + b.StopTimeout + leaseEndSlack
+}
+
 // clockLowerBound returns a lower bound of the time on the worker's clock, in ms.
 func (w *worker) clockLowerBound(now Instant) int64 {
 	return w.clockMS + int64(float64((now-w.clockAt).Milliseconds())*minClockRate)
@@ -39,10 +47,10 @@
 // its lease is renewed before.
 func (w *worker) allRunsEndedAt(b Bounds) Instant {
 	if w.sentLeaseEnd == 0 {
-		return w.leader.tookOverAt + maxLeaseDuration(b) // only former leaders have granted leases
+		return max(w.leader.tookOverAt+maxLeaseDuration(b), w.leasesEndBy) // this leader has granted no other lease
 	}
 	left := max(w.sentLeaseEnd-w.clockMS, 0)
-	return w.clockAt + time.Duration(float64(left)/minClockRate)*time.Millisecond + b.StopTimeout + leaseEndSlack
+	return max(w.clockAt+time.Duration(float64(left)/minClockRate)*time.Millisecond+b.StopTimeout+leaseEndSlack, w.leasesEndBy)
 }
 
 // observeClock records the worker's clock from an answer.
@@ -59,6 +67,7 @@
 		w.removeRun(r)
 		w.handleRestart(o.Incarnation)
 		w.addRun(r)
+		w.boundLeases()
 	}
 	w.observeClock(o.ClockMS)
 }
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -96,6 +96,9 @@
 			l.runLost(r, "the worker started again")
 		}
 	}
+	if len(w.runs) > 0 {
+		w.boundLeases()
+	}
 	w.incarnation, w.listsRead, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, 0, 0, nil
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.leader.markReconciled(w.id)
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -23,7 +23,8 @@
 	incarnation        int64   // start time that identifies its incarnation; 0: not known
 	clockMS            int64   // its clock at clockAt
 	clockAt            Instant
-	sentLeaseEnd       int64 // latest lease end that was sent, in ms on its clock
+	sentLeaseEnd       int64   // latest lease end that was sent, in ms on its clock
+	leasesEndBy        Instant // bound of leases that were sent to a former incarnation and granted by this one; 0: none
 
 	syncInFlight bool
 	nextSyncAt   Instant // 0: no sync is scheduled
