scheduler: tasks of a persistent job move to a shard with room

Loads told the free capacity in one sum; what is free in pieces smaller than a task is no room.

Change: single tasks of a persistent job are given to other shards, in two transactions like a move; the job ends only by a cancellation, which all shards see. Loads tell for eleven sizes how many tasks find room on single workers. The default is a shard for each 256 workers.

--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -38,10 +38,23 @@
 	}
 }
 
+// rowKeys returns the keys of the rows of a job, or of its parts that this shard was
+// given.
+func (j *job) rowKeys() []string {
+	if j.Part != nil {
+		return j.partKeys
+	}
+	return []string{string(j.ID)}
+}
+
 // expire removes the job row and then the other rows of the job.
 func (l *leaderState) expire(j *job) {
 	j.expiring = true
-	l.state.commit(Commit{Writes: []Write{{TableJobs, jobPartition(j.ID), string(j.ID), nil}}}, func(c Committed) {
+	var removals []Write
+	for _, key := range j.rowKeys() {
+		removals = append(removals, Write{TableJobs, jobPartition(j.ID), key, nil})
+	}
+	l.state.commit(Commit{Writes: removals}, func(c Committed) {
 		if l.steppedDown {
 			return
 		}
@@ -51,7 +64,7 @@
 		}
 		delete(l.jobs, j.ID)
 		l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
-		if l.cancelled[j.ID] {
+		if l.cancelled[j.ID] && j.Part == nil {
 			l.removeCancel(j.ID)
 		}
 	})
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -8,8 +8,8 @@
 
 const (
 	// holdDelay is how long a persistent task waits for room before a worker is kept
-	// free for it.
-	holdDelay = 400 * time.Millisecond
+	// free for it. Another shard may take the task before.
+	holdDelay = 800 * time.Millisecond
 	// holdTime is how long a worker is kept free. Most finite tasks end within it.
 	holdTime = 1500 * time.Millisecond
 	// restartHoldTime is how long the room of a persistent task that failed is kept
@@ -32,7 +32,7 @@
 func (l *leaderState) holdWorkers(j *job, ref structs.TaskRef) {
 	step := &j.Steps[ref.Step]
 	now := l.state.now
-	if !step.Persistent || now-j.waitingSince < holdDelay || j.mayMove(now) && l.state.shards.count() > 1 {
+	if !step.Persistent || now-j.waitingSince < holdDelay {
 		return
 	}
 	held := 0
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -20,6 +20,8 @@
 	admittedAt     Instant
 	rowVersion     structs.Version // of its job row
 	moveInFlight   bool            // the job row is being given to another shard
+	writtenParts   map[string]bool // keys of the rows of given parts that this leader has written
+	partKeys       []string        // keys of the rows of parts that this shard was given
 	cancelled      bool            // a caller requested its cancellation
 	started        bool            // a run of one of its tasks has been confirmed
 	softDeadline   Instant         // time by which it should be done
@@ -49,6 +51,8 @@
 	notBefore    Instant     // earliest start after a failure
 	avoidWorkers []structs.WorkerID
 	runRemovedAt Instant // when its last run ended
+	elsewhere    bool    // another shard schedules it
+	from         []int   // shards that scheduled it before
 }
 
 // retryDelay is how long a task waits after a failed run, so that a task that
@@ -87,7 +91,7 @@
 func (j *job) setRun(ref structs.TaskRef, r *run, now Instant) {
 	n, _ := j.taskNumber(ref)
 	t := &j.tasks[n]
-	if !j.IsDone(n) {
+	if !j.IsDone(n) && !t.elsewhere {
 		switch {
 		case t.run == nil && r != nil:
 			j.addWaiting(ref, -1)
@@ -160,6 +164,7 @@
 		p.Failures[task] = slices.Clone(runs)
 	}
 	p.Checkpoints = cloneMap(p.Checkpoints)
+	p.Given = slices.Clone(p.Given)
 	return p
 }
 
@@ -178,6 +183,9 @@
 // events are not modified.
 func (j *job) restore(p structs.Progress) {
 	j.Progress = cloneProgress(p)
+	for _, part := range p.Given {
+		j.setElsewhere(part.Tasks, true)
+	}
 	j.storedState = p.State
 	j.started = p.State != structs.JobQueued
 	for k := range j.remainingByStep {
@@ -227,20 +235,26 @@
 			l.logUnreadable(TableJobs, r, "job", "job row cannot be read")
 			continue
 		}
-		if reason := invalidReason(&v.Job); reason != "" || v.ID != structs.JobID(r.Key) {
+		if reason := invalidReason(&v.Job); reason != "" || v.Part == nil && v.ID != structs.JobID(r.Key) {
 			l.logUnreadable(TableJobs, r, "job", "job row is invalid")
 			continue
 		}
 		if r.Partition != jobPartition(v.ID) {
 			continue // a row of another program
 		}
+		if v.Part != nil {
+			if ShardID(v.Shard) == l.shard && v.Part.Key == r.Key && isPartKey(r.Key, v.ID) {
+				l.addPart(v.Job)
+			}
+			continue
+		}
 		l.addJob(v.Job, r.Version)
 	}
 }
 
 func (l *leaderState) addJob(row structs.Job, version structs.Version) {
 	if j := l.jobs[row.ID]; j != nil {
-		if ShardID(row.Shard) != l.shard {
+		if ShardID(row.Shard) != l.shard && j.Part == nil {
 			// Another shard has the job now. Its mark of the move is stored.
 			l.forgetMoved(j)
 		}
@@ -279,12 +293,13 @@
 	if j.inherited {
 		// Former leaders have used lower run numbers only.
 		for i := range j.tasks {
-			j.tasks[i].lastRun = structs.Run(l.epoch-1) * runsPerEpoch
+			j.tasks[i].lastRun = max(j.tasks[i].lastRun, structs.Run(l.epoch-1)*runsPerEpoch)
 		}
 	}
 	policy := l.state.config.policyOf(&j.Job)
 	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
 	l.openJobs = append(l.openJobs, j)
+	l.writeParts(j)
 	if j.Moving {
 		l.continueMove(j)
 		return
@@ -439,6 +454,7 @@
 		l.continueMove(j)
 		return
 	}
+	l.writeParts(j)
 	if j.storedState != j.State && j.State.Final() {
 		l.state.logDecision(Decision{Part: "job", Action: "final state stored", Subject: string(j.ID), Reason: string(j.State), Age: l.state.now - j.finalAt})
 	}
--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -27,7 +27,7 @@
 // the job. A leader that finds a job marked as moving repeats the second. Only jobs
 // that no leader has claimed move, so that no run of them exists anywhere.
 
-// moveLoop gives jobs that find no room to shards with room.
+// moveLoop gives jobs that find no room, or tasks of them, to shards with room.
 func (l *leaderState) moveLoop() {
 	l.after(moveInterval, l.moveLoop)
 	if !l.isLoaded() || !l.leaseValid() || l.state.shards.count() == 1 {
@@ -40,6 +40,12 @@
 		if moved == maxMovesAtOnce {
 			return
 		}
+		if j.canBeDivided() {
+			if now-j.waitingSince >= divideDelay && l.giveWaitingTasks(j, room) {
+				moved++
+			}
+			continue
+		}
 		if j.ClaimEpoch > 0 || now-j.admittedAt < moveDelay || len(j.MovedFrom) >= maxMoves {
 			continue
 		}
@@ -80,12 +86,7 @@
 		if !ok || slices.Contains(j.MovedFrom, int(id)) || !row.hasLabels(&j.Job, false) {
 			continue
 		}
-		load.subtract(step, step.Count)
-		room := load.FreeMilliCores
-		if step.BestEffort {
-			room = load.IdleMilliCores
-		}
-		if room >= 0 && (best < 0 || room > bestRoom) {
+		if room := load.roomFor(step); room >= 0 && (best < 0 || room > bestRoom) {
 			best, bestRoom = id, room
 		}
 	}
@@ -145,36 +146,3 @@
 func (j *job) mayMove(now Instant) bool {
 	return j.ClaimEpoch == 0 && len(j.MovedFrom) < maxMoves && now-j.admittedAt <= moveDelay+2*loadInterval
 }
-
-// placeableAsWhole reports whether all tasks of a job's first step find room now. A
-// persistent job that does not fit is better off in another shard, since its tasks
-// hold what they get.
-func (l *leaderState) placeableAsWhole(j *job) bool {
-	step := &j.Steps[0]
-	policy := l.state.config.policyOf(&j.Job)
-	places := 0
-	for _, id := range l.workerIDs {
-		w := l.workers[id]
-		if !l.filter(w, j, step, policy) {
-			continue
-		}
-		fit := w.entry.Capacity.Sub(w.reserved).Times(reservation(step))
-		if step.PerWorker > 0 {
-			fit = min(fit, step.PerWorker)
-		}
-		if places += fit; places >= step.Count {
-			return true
-		}
-	}
-	return false
-}
-
-// waitsForMove reports whether a job should not be started yet, because it fits
-// another shard better.
-func (l *leaderState) waitsForMove(j *job) bool {
-	if l.state.shards.count() == 1 || !j.Persistent() || !j.mayMove(l.state.now) || l.placeableAsWhole(j) {
-		return false
-	}
-	_, elsewhere := l.shardWithRoom(j, l.otherLoads())
-	return elsewhere
-}
--- /dev/null
+++ b/core/scheduler/parts.go
@@ -0,0 +1,185 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// divideDelay is how long a task of a persistent job waits for room before it is given
+// to another shard.
+const divideDelay = 400 * time.Millisecond
+
+// The tasks of a persistent job do not depend on each other, and the job ends only when
+// it is cancelled, which all shards see. So single tasks can be given to other shards
+// when their own has no room. Like a move, this takes two transactions: the giving
+// shard lists the tasks in its progress, under its leader's lease, and then writes the
+// row of the part, which is in the partition of the job row. A new leader writes the
+// rows of all listed parts that are absent. A task is given only while no run of it
+// exists, and never to a shard that has had it.
+
+// canBeDivided reports whether single tasks of a job can be given to other shards.
+func (j *job) canBeDivided() bool {
+	return len(j.Steps) == 1 && j.Steps[0].Persistent && !j.Steps[0].Gang && j.Repeat == nil
+}
+
+// partKey returns the key of the row of a job's next part for a shard.
+func (l *leaderState) partKey(j *job, to ShardID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", j.ID, l.shard, to, len(j.Given))
+}
+
+// isPartKey reports whether a key is that of a part of a job.
+func isPartKey(key string, id structs.JobID) bool { return strings.HasPrefix(key, string(id)+".") }
+
+// giveWaitingTasks gives tasks that wait to the shard with the most room for them, and
+// subtracts them from its room. It reports whether it gave any.
+func (l *leaderState) giveWaitingTasks(j *job, loads map[ShardID]map[string]ServiceLoad) bool {
+	step := &j.Steps[0]
+	service := l.state.config.policyOf(&j.Job).Service
+	given := false
+	for _, from := range l.waitingByHistory(j) {
+		target, room := ShardID(-1), int64(0)
+		for id := range ShardID(l.state.shards.count()) {
+			load, ok := loads[id][service]
+			row := l.state.shards.loads[id]
+			if slots := load.slots(step); ok && slots > room && !slices.Contains(from.shards, int(id)) && row.hasLabels(&j.Job, false) {
+				target, room = id, slots
+			}
+		}
+		if target < 0 {
+			continue
+		}
+		tasks := from.tasks[:min(int64(len(from.tasks)), room)]
+		load := loads[target][service]
+		load.subtract(step, len(tasks))
+		loads[target][service] = load
+		l.giveTasks(j, target, tasks, from.shards)
+		given = true
+	}
+	return given
+}
+
+// taskGroup is a group of waiting tasks that the same shards have had.
+type taskGroup struct {
+	shards []int
+	tasks  []int
+}
+
+// waitingByHistory returns the tasks that wait and may be started, by the shards that
+// have had them.
+func (l *leaderState) waitingByHistory(j *job) []taskGroup {
+	var groups []taskGroup
+	for n := range j.tasks {
+		t := &j.tasks[n]
+		if t.run != nil || t.elsewhere || !l.startable(j, t) {
+			continue
+		}
+		at := slices.IndexFunc(groups, func(g taskGroup) bool { return slices.Equal(g.shards, t.from) })
+		if at < 0 {
+			groups = append(groups, taskGroup{shards: t.from})
+			at = len(groups) - 1
+		}
+		groups[at].tasks = append(groups[at].tasks, n)
+	}
+	return groups
+}
+
+// giveTasks lists tasks as given. Their row is written once the list is stored.
+func (l *leaderState) giveTasks(j *job, to ShardID, tasks, from []int) {
+	part := structs.JobPart{Key: l.partKey(j, to), Shard: int(to), Tasks: slices.Clone(tasks), From: append(slices.Clone(from), int(l.shard))}
+	for _, n := range tasks {
+		part.FirstRun = max(part.FirstRun, j.tasks[n].lastRun+1)
+	}
+	j.Given = append(j.Given, part)
+	j.setElsewhere(part.Tasks, true)
+	l.markStarted(j)
+	l.markDirty(j)
+	l.state.logDecision(Decision{Part: "job", Action: "tasks given to another shard", Subject: string(j.ID), Where: to.String(), Reason: "no room in " + l.shard.String(), Age: l.state.now - j.waitingSince, Number: uint64(len(tasks))})
+}
+
+// setElsewhere marks tasks as scheduled by another shard, or by this one.
+func (j *job) setElsewhere(tasks []int, elsewhere bool) {
+	for _, n := range tasks {
+		if n < 0 || n >= len(j.tasks) || j.tasks[n].elsewhere == elsewhere {
+			continue
+		}
+		t := &j.tasks[n]
+		t.elsewhere = elsewhere
+		if t.run != nil || j.IsDone(n) {
+			continue
+		}
+		change := 1
+		if elsewhere {
+			change = -1
+		}
+		j.addWaiting(j.taskRef(0, 0, n), change) // a job with parts has one step and one occurrence
+	}
+}
+
+// writeParts writes the rows of the parts that this leader has not written yet.
+func (l *leaderState) writeParts(j *job) {
+	for _, part := range j.Given {
+		if !j.writtenParts[part.Key] {
+			l.writePart(j, part)
+		}
+	}
+}
+
+func (l *leaderState) writePart(j *job, part structs.JobPart) {
+	if j.writtenParts == nil {
+		j.writtenParts = make(map[string]bool)
+	}
+	j.writtenParts[part.Key] = true
+	row := j.Job
+	row.Shard, row.Part = part.Shard, &part
+	partition := jobPartition(j.ID)
+	l.state.commit(Commit{
+		Conditions: []Condition{{TableJobs, partition, part.Key, 0}},
+		Writes:     []Write{{TableJobs, partition, part.Key, JobRow{row}}},
+	}, func(c Committed) {
+		if l.steppedDown || c.Outcome == structs.OutcomeDone || len(c.Conflicts) > 0 {
+			return // written now or by an earlier attempt
+		}
+		l.after(storeRetryDelay, func() {
+			if l.jobs[j.ID] == j && !j.State.Final() {
+				l.writePart(j, part)
+			}
+		})
+	})
+}
+
+// addPart adds the tasks of a part that was given to this shard.
+func (l *leaderState) addPart(row structs.Job) {
+	part := row.Part
+	j := l.jobs[row.ID]
+	if j == nil {
+		j = newJob(row, l.state.now)
+		j.cancelled = l.cancelled[row.ID]
+		for n := range j.tasks {
+			j.setElsewhere([]int{n}, true)
+		}
+		l.jobs[row.ID] = j
+	}
+	if slices.Contains(j.partKeys, part.Key) || j.Part == nil || !j.canBeDivided() {
+		return
+	}
+	j.partKeys = append(j.partKeys, part.Key)
+	if j.waitingTasks == 0 {
+		j.waitingSince = l.state.now
+	}
+	j.setElsewhere(part.Tasks, false)
+	for _, n := range part.Tasks {
+		if n < 0 || n >= len(j.tasks) {
+			continue
+		}
+		t := &j.tasks[n]
+		t.from, t.lastRun = part.From, max(t.lastRun, part.FirstRun-1)
+	}
+	if l.isLoaded() {
+		l.admit(j)
+		l.schedule.requestPass()
+	}
+}
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -75,7 +75,7 @@
 	}
 	w.addRun(r)
 	t.lastRun = max(t.lastRun, a.Run)
-	if !j.schedulable() || j.IsDone(n) || t.run != nil {
+	if !j.schedulable() || j.IsDone(n) || t.run != nil || t.elsewhere {
 		l.stopRun(r, "the task is done, running elsewhere, or its job has ended")
 		return r
 	}
--- a/core/scheduler/route.go
+++ b/core/scheduler/route.go
@@ -78,13 +78,9 @@
 	return true
 }
 
-// room returns what would be left of a shard's capacity for a job once the tasks of its
-// first step run.
+// room returns how much room a shard has left for a job once the tasks of its first
+// step run.
 func (v *shardView) room(id ShardID, j *structs.Job, service string) int64 {
 	load := v.loads[id].Services[service]
-	load.subtract(&j.Steps[0], j.Steps[0].Count)
-	if j.Steps[0].BestEffort {
-		return load.IdleMilliCores
-	}
-	return load.FreeMilliCores
+	return load.roomFor(&j.Steps[0])
 }
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -175,13 +175,19 @@
 	Labels       []string               `json:"labels"`     // of its workers
 }
 
-// ServiceLoad is the capacity of a shard for the tasks of one service. Both amounts
+// ServiceLoad is the capacity of a shard for the tasks of one service. All amounts
 // become negative when more tasks wait than there is room for.
 type ServiceLoad struct {
-	FreeMilliCores int64 `json:"free"` // not reserved, less what waiting tasks would reserve
-	IdleMilliCores int64 `json:"idle"` // expected to be idle, less what waiting best-effort tasks request
+	// Slots holds, for each of slotSizes, how many tasks that reserve this much find
+	// room on single workers, less what waiting tasks would take.
+	Slots          [len(slotSizes)]int64 `json:"slots"`
+	IdleMilliCores int64                 `json:"idle"` // expected to be idle, less what waiting best-effort tasks request
 }
 
+// slotSizes are the reservations, in thousandths of a processor, for which the load of
+// a shard tells the room: what is free in small pieces is no room for large tasks.
+var slotSizes = [...]int64{1000, 2000, 4000, 8000, 12000, 16000, 20000, 24000, 32000, 48000, 64000}
+
 // ConfigurationRow is the operator's configuration.
 type ConfigurationRow struct{ structs.QueueConfiguration }
 
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -141,7 +141,7 @@
 // placeJob starts the tasks of a job that are due, unless this leader's claim of
 // the job has not been stored yet.
 func (l *leaderState) placeJob(j *job, unplaceable map[demand]bool) {
-	if j.ClaimEpoch == l.epoch && !j.claimStored || l.waitsForMove(j) {
+	if j.ClaimEpoch == l.epoch && !j.claimStored {
 		return
 	}
 	for occurrence := range j.remainingByStep {
@@ -198,7 +198,7 @@
 		ref := j.taskRef(occurrence, step, index)
 		n, _ := j.taskNumber(ref)
 		t := &j.tasks[n]
-		if j.IsDone(n) || t.run != nil || !l.startable(j, t) {
+		if j.IsDone(n) || t.run != nil || t.elsewhere || !l.startable(j, t) {
 			continue
 		}
 		w := ranking.best(t.avoidWorkers)
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -140,8 +140,7 @@
 		w := l.workers[id]
 		load := row.Services[w.entry.Service]
 		if w.acceptsStarts() {
-			load.FreeMilliCores += w.entry.Capacity.MilliCores - w.reserved.MilliCores
-			load.IdleMilliCores += max(w.idleMilliCores(), 0)
+			load.addWorker(w)
 		}
 		row.Services[w.entry.Service] = load
 	}
@@ -149,7 +148,7 @@
 		if !j.schedulable() {
 			continue
 		}
-		if !j.started {
+		if !j.started && j.Part == nil {
 			row.QueueLengths[j.Queue]++
 		}
 		service := s.config.policyOf(&j.Job).Service
@@ -173,11 +172,42 @@
 	}
 }
 
+// addWorker adds the room on a worker.
+func (load *ServiceLoad) addWorker(w *worker) {
+	free := max(w.entry.Capacity.MilliCores-w.reserved.MilliCores, 0)
+	for i, size := range slotSizes {
+		load.Slots[i] += free / size
+	}
+	load.IdleMilliCores += max(w.idleMilliCores(), 0)
+}
+
 // subtract subtracts what tasks of a step request.
 func (load *ServiceLoad) subtract(step *structs.Step, tasks int) {
 	amount := int64(tasks) * step.Request.MilliCores
 	load.IdleMilliCores -= amount
-	if !step.BestEffort {
-		load.FreeMilliCores -= amount
+	if step.BestEffort {
+		return
+	}
+	for i, size := range slotSizes {
+		load.Slots[i] -= (amount + size - 1) / size
+	}
+}
+
+// slots returns how many tasks of a step find room on single workers.
+func (load *ServiceLoad) slots(step *structs.Step) int64 {
+	for i, size := range slotSizes {
+		if step.Request.MilliCores <= size {
+			return load.Slots[i]
+		}
+	}
+	return 0 // larger than any size that the load tells
+}
+
+// roomFor returns how much room is left once the tasks of a step run: in tasks or, for
+// best-effort tasks, in thousandths of a processor. It is negative if they do not fit.
+func (load *ServiceLoad) roomFor(step *structs.Step) int64 {
+	if step.BestEffort {
+		return load.IdleMilliCores - int64(step.Count)*step.Request.MilliCores
 	}
+	return load.slots(step) - int64(step.Count)
 }
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -38,6 +38,18 @@
 	SubmittedMS int64   `json:"wall"`                 // submission time at the accepting host, Unix milliseconds
 	Shard       int     `json:"shard,omitempty"`      // shard that schedules it
 	MovedFrom   []int   `json:"moved_from,omitempty"` // shards that scheduled it before and started none of its tasks
+	// Part is set in a row that gives tasks of the job to the shard; nil: the row is
+	// the job itself.
+	Part *JobPart `json:"part,omitempty"`
+}
+
+// JobPart is a set of tasks of a persistent job that one shard has given to another.
+type JobPart struct {
+	Key      string `json:"key"`                 // of its row
+	Shard    int    `json:"shard"`               // that schedules the tasks
+	Tasks    []int  `json:"tasks"`               // their numbers
+	From     []int  `json:"from"`                // shards that have scheduled them before
+	FirstRun Run    `json:"first_run,omitempty"` // above the numbers of all runs so far
 }
 
 // Repeat schedules occurrences of all steps of a job. Occurrence K, counted from
@@ -137,6 +149,9 @@
 	// starts tasks of the job from then on.
 	Moving   bool `json:"moving,omitempty"`
 	MovingTo int  `json:"moving_to,omitempty"`
+	// Given lists the tasks of a persistent job that the shard has given to others. It
+	// never starts them from then on.
+	Given []JobPart `json:"given,omitempty"`
 }
 
 // IsDone reports whether the task with this number has ended with success.
--- a/entry/cmd/tamarackstep/platform.go
+++ b/entry/cmd/tamarackstep/platform.go
@@ -23,7 +23,7 @@
 	platformGCPercent = 300
 	// defaultShardWorkers divides the workers so that a leader needs a fraction of a
 	// processor, and a shard still has room for wide jobs.
-	defaultShardWorkers = 128
+	defaultShardWorkers = 256
 	// memoryLimitPercent is the soft memory limit of the Go runtime, in percent
 	// of the machine's memory. The collector runs more often near the limit.
 	memoryLimitPercent = 70
