scheduler: loads of shards have a partition of their own

Cause: all leaders wrote their loads to partition 0, in which shard 0 renews its lease and commits. A slow store performs 2.5 transactions of a partition a second; with five shards the loads alone exceed that, and the lease runs out.

Change: loads are in a partition of their own; each names the number of shards, so that hosts need no other row.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -277,7 +277,8 @@
 
 // planStored puts a plan in force that this leader has stored.
 func (l *leaderState) planStored(plan ShardPlanRow) {
-	l.state.shards.plan, l.state.shards.planVersion = plan, l.commits.leaseVersion
+	v := &l.state.shards
+	v.plan, v.planVersion, v.planned = plan, l.commits.leaseVersion, max(v.planned, plan.Shards)
 	l.state.planChanged()
 }
 
--- a/core/scheduler/fakestore_test.go
+++ b/core/scheduler/fakestore_test.go
@@ -22,8 +22,13 @@
 	refuseCommits bool                        // refuses all commits
 	commitOutcome func(*fakeHost, Commit) int // decides the outcome of a commit
 	commits       int
+	commitTime    time.Duration               // that a partition takes for one transaction; others wait
+	busyUntil     map[Partition]time.Duration // when each partition has performed the transactions that wait
 }
 
+// maxCommitQueue is the wait from which a partition refuses further transactions.
+const maxCommitQueue = time.Second
+
 // fakeRowID identifies a row.
 type fakeRowID struct {
 	table     Table
@@ -45,7 +50,7 @@
 }
 
 func newFakeStore(sim *simulation) *fakeStore {
-	return &fakeStore{sim: sim, rows: make(map[fakeRowID]Row), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
+	return &fakeStore{sim: sim, rows: make(map[fakeRowID]Row), busyUntil: make(map[Partition]time.Duration), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
 }
 
 // get returns the value that was written last to a key of a table, in any partition.
@@ -94,6 +99,10 @@
 		h.deliverAfter(storeDelay, Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 		return
 	}
+	if s.commitTime > 0 && len(e.Writes) > 0 {
+		s.commitSlowly(h, e)
+		return
+	}
 	switch s.commitOutcome(h.fakeHost, e) {
 	case commitUnanswered:
 		s.sim.after(storeDelay, func() { s.perform(e) })
@@ -106,6 +115,26 @@
 	}
 }
 
+// commitSlowly performs a commit after those that wait in its partition.
+func (s *fakeStore) commitSlowly(h fakeConnection, e Commit) {
+	p, now := e.Writes[0].Partition, s.sim.now
+	if s.busyUntil[p]-now > maxCommitQueue {
+		h.deliverAfter(storeDelay, Committed{Effect: e.ID, Outcome: structs.OutcomeNotDone})
+		return
+	}
+	s.busyUntil[p] = max(s.busyUntil[p], now) + s.commitTime
+	wait := s.busyUntil[p] - now
+	s.sim.after(wait, func() {
+		result := s.perform(e)
+		if wait <= e.Timeout {
+			h.deliverAfter(0, result)
+		}
+	})
+	if wait > e.Timeout {
+		h.deliverAfter(e.Timeout, Committed{Effect: e.ID, Outcome: structs.OutcomeUnknown})
+	}
+}
+
 // checkPartition fails the test if the rows of a commit are in several partitions.
 func (s *fakeStore) checkPartition(e Commit) {
 	parts := make(map[Partition]bool)
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -18,7 +18,7 @@
 	TableJobs                      // submitted jobs, by job id; written once
 	TableProgress                  // progress of each job, by job id, in the partition of its shard
 	TableCancels                   // cancellations, by job id
-	TableShards                    // the plan of the shards, and the load of each
+	TableShards                    // the plan of the shards, and the load of each in loadPartition
 )
 
 // Partition numbers a partition of a table. The store performs the transactions
@@ -65,12 +65,24 @@
 	return ShardID(n), ok && err == nil && n >= 0 && n < maxShards
 }
 
-// loadedPartitions returns how many partitions a watched table has.
-func (t Table) loadedPartitions() Partition {
-	if t == TableJobs {
-		return JobPartitions
+// loadPartition is the partition of the loads of all shards. Leaders write them often;
+// while the store is slow, their writes must not hold up the commits of a leader, which
+// renew its lease.
+const loadPartition = JobPartitions + maxShards
+
+// loadedPartitions returns the partitions of a watched table.
+func (t Table) loadedPartitions() []Partition {
+	switch t {
+	case TableJobs:
+		all := make([]Partition, JobPartitions)
+		for p := range all {
+			all[p] = Partition(p)
+		}
+		return all
+	case TableShards:
+		return []Partition{0, loadPartition}
 	}
-	return 1
+	return []Partition{0}
 }
 
 // Keys of single rows.
@@ -169,6 +181,7 @@
 	Processors   float64                `json:"processors"` // of the leader
 	Strongest    float64                `json:"strongest"`  // most processors of any leader so far
 	Leads        int                    `json:"leads"`      // shards that the host leads
+	Shards       int                    `json:"shards"`     // number of shards in the plan
 	AtMS         int64                  `json:"at_ms"`      // when it was written, on the store's clock; 0: the leader has released the shard
 	QueueLengths map[string]int         `json:"queues"`     // accepted jobs that have not started, by queue
 	Services     map[string]ServiceLoad `json:"services"`   // by service
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -21,8 +21,9 @@
 
 // shardView is what a host knows of all shards.
 type shardView struct {
-	plan          ShardPlanRow
+	plan          ShardPlanRow // known to leaders, which watch it
 	planVersion   structs.Version
+	planned       int // number of shards in the newest load or plan
 	loads         map[ShardID]ShardLoadRow
 	loadVersions  map[ShardID]structs.Version
 	storeMS       int64         // the store's clock at readAt
@@ -39,7 +40,7 @@
 }
 
 // count returns the number of shards.
-func (v *shardView) count() int { return min(max(v.plan.Shards, 1), maxShards) }
+func (v *shardView) count() int { return min(max(v.planned, 1), maxShards) }
 
 // leadership returns what the host knows of the leader of a shard.
 func (v *shardView) leadership(id ShardID) *leadership {
@@ -70,12 +71,12 @@
 		case ShardPlanRow:
 			if r.Version > v.planVersion {
 				planChanged = true
-				v.plan, v.planVersion = value, r.Version
+				v.plan, v.planVersion, v.planned = value, r.Version, max(v.planned, value.Shards)
 			}
 		case ShardLoadRow:
 			if id, ok := shardOfLoadKey(r.Key); ok && r.Version > v.loadVersions[id] {
 				v.loads[id], v.loadVersions[id] = value, r.Version
-				v.strongest = max(v.strongest, value.Strongest)
+				v.strongest, v.planned = max(v.strongest, value.Strongest), max(v.planned, value.Shards)
 			}
 		}
 	}
@@ -92,9 +93,9 @@
 	}
 }
 
-// readShards reads the plan and all loads, and passes the result to done.
+// readShards reads the loads of all shards, and passes the result to done.
 func (s *State) readShards(done func(RowsRead)) {
-	s.read(ReadRows{Table: TableShards}, func(r RowsRead) {
+	s.read(ReadRows{Table: TableShards, Partition: loadPartition}, func(r RowsRead) {
 		v := &s.shards
 		trackSince(&v.readableSince, r.Outcome == structs.OutcomeDone, s.now)
 		if r.Outcome == structs.OutcomeDone {
@@ -112,7 +113,7 @@
 		return
 	}
 	l.loadInFlight = true
-	l.state.commit(Commit{Writes: []Write{{Table: TableShards, Key: l.shard.loadKey(), Value: l.load()}}}, func(Committed) {
+	l.state.commit(Commit{Writes: []Write{{TableShards, loadPartition, l.shard.loadKey(), l.load()}}}, func(Committed) {
 		l.loadInFlight = false
 	})
 }
@@ -121,7 +122,7 @@
 func (l *leaderState) publishRelease() {
 	row := l.load()
 	row.AtMS = 0
-	l.state.commit(Commit{Writes: []Write{{Table: TableShards, Key: l.shard.loadKey(), Value: row}}}, func(c Committed) {
+	l.state.commit(Commit{Writes: []Write{{TableShards, loadPartition, l.shard.loadKey(), row}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
 			// The hosts see it later, by the age of the last load.
 			l.state.logDecision(Decision{Part: "leader", Action: "release was not published", Subject: l.state.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(l.epoch)})
@@ -134,6 +135,7 @@
 	s := l.state
 	row := ShardLoadRow{
 		Host: s.self.Host, Epoch: l.epoch, Processors: s.self.Processors, Strongest: s.shards.strongest, Leads: len(s.leaders), AtMS: l.storeNow(),
+		Shards:       s.shards.count(),
 		QueueLengths: make(map[string]int), Services: make(map[string]ServiceLoad), Labels: l.workerLabels(),
 	}
 	for _, id := range l.workerIDs {
--- a/core/scheduler/shards_test.go
+++ b/core/scheduler/shards_test.go
@@ -305,3 +305,25 @@
 		t.Errorf("%d shards for 12 workers, want 3", got)
 	}
 }
+
+// TestSlowStoreKeepsLeaders guards against loads of many shards that hold up the commits
+// of a leader while the store is slow, so that its lease expires: a partition performs
+// 2.5 transactions a second, and five shards write their loads.
+func TestSlowStoreKeepsLeaders(t *testing.T) {
+	sim := newShardedSimulation(t, 6, 10, 2)
+	sim.waitForLeader()
+	sim.advance(2 * time.Second)
+	epochs := make(map[ShardID]structs.Epoch)
+	for id := range ShardID(5) {
+		epochs[id] = sim.leaderOf(id).state.leaderOf(id).epoch
+	}
+	sim.store.commitTime = 400 * time.Millisecond
+	sim.advance(10 * time.Second)
+	sim.store.commitTime = 0
+	sim.advance(2 * time.Second)
+	for id := range ShardID(5) {
+		if h := sim.leaderOf(id); h == nil || h.state.leaderOf(id).epoch != epochs[id] {
+			t.Errorf("%v changed its leader while the store was slow", id)
+		}
+	}
+}
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -110,7 +110,7 @@
 	afterVersion      structs.Version
 	snapshot          []Row
 	oldestPage        structs.Version // lowest version of the pages of a read
-	loadingPartitions Partition       // partitions whose read is not complete
+	loadingPartitions int             // partitions whose read is not complete
 }
 
 // watchKey identifies a watch. Each leader of a host has its own; those of the host
@@ -137,8 +137,9 @@
 // loadAll reads all partitions of the table at once: one after another would take
 // too long while the store is slow.
 func (w *watch) loadAll(s *State) {
-	w.snapshot, w.oldestPage, w.loadingPartitions = nil, 0, w.table.loadedPartitions()
-	for part := range w.table.loadedPartitions() {
+	partitions := w.table.loadedPartitions()
+	w.snapshot, w.oldestPage, w.loadingPartitions = nil, 0, len(partitions)
+	for _, part := range partitions {
 		w.load(s, part, "")
 	}
 }
