scheduler: a new plan of shards contains the one in flight

Cause: the leader of shard 0 made each plan from the one in force. While a plan was being stored, a further rack made it assign the racks of that plan anew, possibly to other shards. Two leaders then commanded one worker under epochs that are not comparable, and one of them stepped down again and again.

Change: plans of one leader build on each other. The simulation's store checks that no rack changes its shard.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -198,7 +198,7 @@
 			c.usedWorkersChanged = c.usedWorkersChanged || content.usedWorkers.Workers != nil
 			c.removedProgress = append(c.removedProgress, content.removed...)
 			if c.plan == nil {
-				c.plan = content.plan
+				c.plan = content.plan // a newer plan contains it
 			}
 			c.nextBatch = batch // nothing of it is durable yet
 			l.after(storeRetryDelay, l.flush)
--- a/core/scheduler/fakestore_test.go
+++ b/core/scheduler/fakestore_test.go
@@ -76,6 +76,9 @@
 }
 
 func (s *fakeStore) put(id fakeRowID, v RowValue) {
+	if plan, ok := v.(ShardPlanRow); ok {
+		s.checkPlan(plan)
+	}
 	r := Row{Partition: id.partition, Key: id.key, Version: s.version, Value: v, Removed: v == nil}
 	if v == nil {
 		delete(s.rows, id)
@@ -85,6 +88,16 @@
 	s.history = append(s.history, TableRow{id.table, r})
 }
 
+// checkPlan fails the test if a plan gives a rack to another shard than the plan before.
+func (s *fakeStore) checkPlan(plan ShardPlanRow) {
+	before, _ := s.get(TableShards, KeyPlan).(ShardPlanRow)
+	for rack, shard := range before.Racks {
+		if got, ok := plan.Racks[rack]; !ok || got != shard {
+			s.sim.t.Fatalf("%v: rack %s of %v is given to %v (assigned: %v)", s.sim.now, rack, shard, got, ok)
+		}
+	}
+}
+
 func (s *fakeStore) reachable(h fakeConnection) bool { return !s.down && !h.storeCut }
 
 func (s *fakeStore) storeMS() int64 { return 5_000_000 + s.sim.now.Milliseconds() }
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -21,6 +21,7 @@
 	disconnected    bool // commands do not reach it and answers are lost
 	failing         bool // all its runs fail
 	hanging         bool // its runs make no progress
+	replaced        bool // ended for good
 	unlisted        bool // new incarnations do not write an entry into the list
 	incarnation     int64
 	startedAt       time.Duration // start of this incarnation
@@ -98,6 +99,19 @@
 	f.sim.store.set(TableWorkers, string(f.id), WorkerRow{e})
 }
 
+// replace ends the worker for good and adds another one in a rack of its own.
+func (f *fakeWorker) replace() {
+	if f.replaced {
+		return
+	}
+	f.replaced = true
+	f.crash()
+	f.sim.store.set(TableWorkers, string(f.id), nil)
+	replacement := f.sim.addWorker(fmt.Sprintf("n%02d", len(f.sim.workers)))
+	replacement.rack = "rack of " + string(replacement.id)
+	replacement.writeEntry(false)
+}
+
 // crash ends the worker and all its runs.
 func (f *fakeWorker) crash() {
 	f.alive = false
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -57,7 +57,7 @@
 		for i := range steps {
 			h := sim.hosts[rapid.IntRange(0, 2).Draw(rt, "host")]
 			f := sim.workers[structs.WorkerID(fmt.Sprintf("w%02d", rapid.IntRange(0, 3).Draw(rt, "worker")))]
-			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			switch rapid.IntRange(0, 10).Draw(rt, "step") {
 			case 0, 1, 2:
 				id := fmt.Sprintf("%016x", i+1)
 				work := time.Duration(rapid.IntRange(50, 4000).Draw(rt, "work")) * time.Millisecond
@@ -86,10 +86,16 @@
 			case 8:
 				if f.alive {
 					f.crash()
-					sim.after(time.Second, f.boot)
+					sim.after(time.Second, func() {
+						if !f.replaced {
+							f.boot()
+						}
+					})
 				}
 			case 9:
 				h.storeCut = !h.storeCut
+			case 10:
+				f.replace()
 			}
 			sim.advance(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "pause")) * time.Millisecond)
 		}
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -31,6 +31,7 @@
 	entries         map[structs.WorkerID]structs.WorkerEntry // the platform's list, with the workers of all shards
 	entriesAtGrowth int                                      // number of entries when it last changed, before the first plan
 	entriesGrewAt   Instant
+	newestPlan      *ShardPlanRow                // last plan that this leader made; nil: none
 	workers         map[structs.WorkerID]*worker // of this shard
 	workerIDs       []structs.WorkerID           // of workers, sorted
 	cancelled       map[structs.JobID]bool       // cancellations of jobs of all shards
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -58,8 +58,8 @@
 		return
 	}
 	plan := l.state.shards.plan
-	if l.commits.plan != nil {
-		plan = *l.commits.plan
+	if l.newestPlan != nil {
+		plan = *l.newestPlan // it may not be stored yet
 	}
 	counts := make(map[string]int) // workers by rack
 	newRacks := make(map[string]structs.WorkerID)
@@ -88,7 +88,7 @@
 		}
 	}
 	l.spreadRacks(&plan, newRacks, counts)
-	l.commits.plan = &plan
+	l.newestPlan, l.commits.plan = &plan, &plan
 	l.state.logDecision(Decision{Part: "leader", Action: "racks assigned to shards", Subject: l.state.self.Host, Number: uint64(plan.Shards)})
 }
 
--- a/core/scheduler/shards_test.go
+++ b/core/scheduler/shards_test.go
@@ -306,6 +306,30 @@
 	}
 }
 
+// TestPlansInFlight guards against racks that a plan in flight has assigned and that the
+// next plan assigns anew, with other sizes of the shards: two leaders would command
+// their workers. The store checks each plan against the one before.
+func TestPlansInFlight(t *testing.T) {
+	sim := newShardedSimulation(t, 2, 4, 2)
+	sim.waitForLeader()
+	sim.advance(time.Second)
+	sim.store.commitTime = 400 * time.Millisecond
+	racks := []string{"z0", "y0", "x0", "w0"}
+	for _, rack := range racks {
+		f := sim.addWorker("worker of " + rack)
+		f.rack = rack
+		f.writeEntry(false)
+		sim.advance(workerWatchDelay / 2)
+	}
+	sim.advance(5 * time.Second)
+	after, _ := sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
+	for _, rack := range racks {
+		if _, ok := after.Racks[rack]; !ok {
+			t.Errorf("rack %s is in no shard", rack)
+		}
+	}
+}
+
 // TestSlowStoreKeepsLeaders guards against loads of many shards that hold up the commits
 // of a leader while the store is slow, so that its lease expires: a partition performs
 // 2.5 transactions a second, and five shards write their loads.
