--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -140,9 +140,3 @@
 	l.openJobs = slices.DeleteFunc(l.openJobs, func(o *job) bool { return o == j })
 	l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
 }
-
-// mayMove reports whether a job that finds no room may still be given to another shard
-// soon.
-func (j *job) mayMove(now Instant) bool {
-	return j.ClaimEpoch == 0 && len(j.MovedFrom) < maxMoves && now-j.admittedAt <= moveDelay+2*loadInterval
-}
