review: case 2, hosts with slow links never finish a takeover

Cause: a new leader reads all tables and partitions at once, each with 1.2 s; on a link of 10 Mbit/s all reads time out and begin anew, while the lease is kept, so that no other host takes over.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -262,3 +262,36 @@
 	}
 	return nil
 }
+
+// caseLink: the host that leads is stopped as planned, and hosts with a link of 10 Mbit/s
+// remain for some seconds, as in a deployment with hosts of two sizes.
+func caseLink(b *bench, folder string) error {
+	b.sizes = []hostSize{{0.8, 200}, {0.11, 10}, {0.11, 10}}
+	if err := b.build(folder, 12, 8, 3, kindA); err != nil {
+		return err
+	}
+	text := strings.Repeat("quote for tiles and springs; ", 1200/29)
+	const rate, seconds = 26, 56
+	begun := time.Now()
+	for n := range rate * seconds {
+		at := time.Duration(n) * time.Second / rate
+		time.Sleep(time.Until(begun.Add(at)))
+		if b.trouble && n == rate*48 {
+			b.leader().stop()
+		}
+		j := b.newJob("base=500 "+text, step{Count: 4, Cpu: 500, MemMb: 256, EstimatedMs: 500})
+		b.send(j)
+		time.AfterFunc(3*time.Second, func() { b.see(j) })
+	}
+	b.mustServe(time.Now())
+	return nil
+}
+
+// see asks for the state of a job once.
+func (b *bench) see(j *job) {
+	if b.ask(j) == "completed" {
+		b.check.mu.Lock()
+		j.final = "completed"
+		b.check.mu.Unlock()
+	}
+}
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,12 @@
 	log    *os.File
 }
 
+// hostSize is the share of a core and the network link of a host.
+type hostSize struct{ cpu, mbps float64 }
+
+// smallHost is the size of the hosts of a small deployment.
+var smallHost = hostSize{cpu: 0.4, mbps: 1000}
+
 func freePort() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,7 +42,7 @@
 	return l.Addr().String(), nil
 }
 
-func newHost(n int, folder, storeAddress string, rec *record) (*host, error) {
+func newHost(n int, folder, storeAddress string, size hostSize, rec *record) (*host, error) {
 	h := &host{name: fmt.Sprintf("front-smolyan-%d", n+1), rec: rec}
 	var addresses [3]string
 	for i := range addresses {
@@ -64,11 +71,11 @@
 Ready = %q
 Control = %q
 [Limits]
-CpuShare = 0.4
+CpuShare = %v
 Cores = 1
 MemoryMb = 284
 MaxFds = 4100
-LinkMbps = 1000.0
+LinkMbps = %v
 [Bounds]
 ContactMs = 3000
 AckTimeoutMs = 4000
@@ -91,7 +98,7 @@
 RowBytes = %d
 CrossRegion = false
 HistoryS = 20
-`, h.name, addresses[0], addresses[1], addresses[2], maxHoldMS, storeAddress, rowBytes)
+`, h.name, addresses[0], addresses[1], addresses[2], size.cpu, size.mbps, maxHoldMS, storeAddress, rowBytes)
 	if err := os.WriteFile(h.settings, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -167,6 +174,15 @@
 	<-exited
 }
 
+// stop ends the process as planned, with SIGTERM. The platform starts it again.
+func (h *host) stop() {
+	h.mu.Lock()
+	cmd := h.cmd
+	h.mu.Unlock()
+	h.rec.line("%s: SIGTERM", h.name)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+}
+
 func (h *host) lastLed() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	workers []*worker
 	client  *http.Client
 	trouble bool
+	sizes   []hostSize // of the hosts, if not all are small; each has a link of its rate to the store
 	mu      sync.Mutex
 	jobs    []*job
 }
@@ -48,7 +49,14 @@
 		b.workers = append(b.workers, w)
 	}
 	for n := range hosts {
-		h, err := newHost(n, folder, l.Addr().String(), b.rec)
+		size, address := smallHost, l.Addr().String()
+		if n < len(b.sizes) {
+			size = b.sizes[n]
+			if address, err = newLink(address, size.mbps); err != nil {
+				return err
+			}
+		}
+		h, err := newHost(n, folder, address, size, b.rec)
 		if err != nil {
 			return err
 		}
@@ -100,7 +108,7 @@
 	var open []*job
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	slots := make(chan struct{}, 8)
+	slots := make(chan struct{}, 32)
 	for _, j := range jobs {
 		b.check.mu.Lock()
 		skip := j.accepted.IsZero() || j.final != ""
@@ -172,7 +180,7 @@
 }
 
 var cases = map[string]func(b *bench, folder string) error{
-	"ends": caseEnds, "progress": caseProgress, "entry": caseEntry, "kind": caseKind, "cancel": caseCancel, "born": caseBorn,
+	"ends": caseEnds, "progress": caseProgress, "entry": caseEntry, "kind": caseKind, "cancel": caseCancel, "born": caseBorn, "link": caseLink,
 }
 
 // Exit codes of a case.
