scheduler: a takeover reads its state in pages that the host's link carries

Cause, from its log and the calls that the store saw: becomeLeader read all partitions of all tables at once with the largest pages. 2.8 MB of jobs do not pass 10 Mbit/s within the time limit of a read, 1.2 s, so that all pages failed together, again and again. The lease was renewed meanwhile, and a leader without a load was never challenged by a stronger host.

TestTakeoverOverSlowLink, TestLeaderThatReadsIsChallenged and TestWatchCatchesUpOverSlowLink fail without their part of the change and pass with it.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -32,6 +32,8 @@
 	Instance   structs.InstanceID // of this process; never used twice
 	Seed       uint64             // for jitter
 	Processors float64            // CPU cores available to the host; may be a fraction
+	// LinkBytesPerSecond is the capacity of the host's network link; 0: not known.
+	LinkBytesPerSecond float64
 	// ShardWorkers is the number of workers for which a further shard is added; 0:
 	// there is one shard.
 	ShardWorkers int
@@ -92,6 +94,7 @@
 	Effect           EffectID
 	Outcome          structs.Outcome
 	Rows             []Row
+	Bytes            int             // size of the rows on the link
 	More             bool            // further rows follow the last one
 	Version          structs.Version // of the store at this read
 	StoreMS          int64           // the store's monotonic clock
--- a/core/scheduler/fakestore_test.go
+++ b/core/scheduler/fakestore_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"encoding/base64"
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -200,13 +202,53 @@
 			}
 		}
 		slices.SortFunc(result.Rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
-		if e.Limit > 0 && len(result.Rows) > e.Limit {
-			result.Rows, result.More = result.Rows[:e.Limit], true
+		limit := maxPageRows
+		if e.Limit > 0 {
+			limit = min(limit, e.Limit)
 		}
-		h.deliverAfter(0, result)
+		if len(result.Rows) > limit {
+			result.Rows, result.More = result.Rows[:limit], true
+		}
+		s.deliverRows(h, result, e.Timeout)
 	})
 }
 
+// deliverRows delivers rows as fast as the host's link carries them, or an unknown
+// outcome when that takes longer than the timeout. What is not carried by then is dropped.
+func (s *fakeStore) deliverRows(h fakeConnection, result RowsRead, timeout time.Duration) {
+	for _, r := range result.Rows {
+		result.Bytes += s.rowBytes(r)
+	}
+	wait := h.receive(result.Bytes, timeout)
+	if wait > timeout {
+		h.deliverAfter(timeout, RowsRead{Effect: result.Effect, Outcome: structs.OutcomeUnknown})
+		return
+	}
+	h.deliverAfter(wait, result)
+}
+
+// rowBytes returns the size of a row on a host's link.
+func (s *fakeStore) rowBytes(r Row) int {
+	data, err := json.Marshal(r.Value)
+	if err != nil {
+		s.sim.t.Fatal(err)
+	}
+	return base64.StdEncoding.EncodedLen(len(data)) + len(r.Key)
+}
+
+// receive occupies the host's link with an answer, and returns how long it takes to
+// arrive. An answer that would take longer than the timeout is given up by then.
+func (h *fakeHost) receive(bytes int, timeout time.Duration) time.Duration {
+	if h.linkBytesPerSecond == 0 {
+		return 0
+	}
+	now := h.sim.now
+	h.linkFreeAt = max(h.linkFreeAt, now) + time.Duration(float64(bytes)/h.linkBytesPerSecond*float64(time.Second))
+	wait := h.linkFreeAt - now
+	h.linkFreeAt = min(h.linkFreeAt, now+timeout)
+	return wait
+}
+
 func (s *fakeStore) watch(h fakeConnection, e WatchRows) {
 	if !s.reachable(h) {
 		h.deliverAfter(e.Timeout, RowsRead{Effect: e.ID, Outcome: structs.OutcomeUnknown})
@@ -251,5 +293,5 @@
 		w.h.deliverAfter(watchTimeoutSlack, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeUnknown})
 		return
 	}
-	w.h.deliverAfter(storeDelay, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeDone, Rows: rows, Version: s.version, StoreMS: s.storeMS()})
+	s.deliverRows(w.h, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeDone, Rows: rows, Version: s.version, StoreMS: s.storeMS()}, w.e.Timeout-w.e.Wait)
 }
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -115,7 +115,7 @@
 // readProgress reads the progress of all jobs once, from a key on. Only the
 // leader writes progress, so it need not be read again.
 func (l *leaderState) readProgress(from string) {
-	l.state.read(ReadRows{Table: TableProgress, Partition: l.shard.partition(), From: from}, func(r RowsRead) {
+	l.state.readPage(TableProgress, l.shard.partition(), from, func(r RowsRead) {
 		if l.steppedDown {
 			return
 		}
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -64,9 +64,9 @@
 	readInFlight        bool
 	vacantSince         Instant // since when the lease is seen as released or absent; 0: it is not
 
-	// Of the leader that the loads show.
-	loadEpoch       structs.Epoch
-	loadEpochSeenAt Instant
+	// Of the leader that the loads or the leadership rows show.
+	seenEpoch       structs.Epoch
+	epochSeenAt     Instant
 	challengedEpoch structs.Epoch
 }
 
@@ -138,6 +138,7 @@
 			l.applyRows(s, r.Rows)
 			l.confirmTakeover(s, r.StoreMS)
 			l.considerTakeover(s, r.StoreMS)
+			l.considerChallengeWithoutLoad(s, r.StoreMS)
 		}
 	})
 }
@@ -236,18 +237,40 @@
 	return delay
 }
 
-// considerChallenge asks the leader of a shard to release it if it is weak, or if it
-// leads several shards and this host none.
+// considerChallenge asks the leader of a shard that its load shows to release the shard.
 func (l *leadership) considerChallenge(s *State) {
 	load := s.shards.loads[l.shard]
-	if load.Epoch != l.loadEpoch {
-		l.loadEpoch, l.loadEpochSeenAt = load.Epoch, s.now
+	l.challengeLeader(s, seenLeader{load.Host, load.Epoch, load.Processors, load.Leads})
+}
+
+// considerChallengeWithoutLoad asks the leader that the leadership rows show. It writes no
+// load before it has read its state, which takes long over a slow link.
+func (l *leadership) considerChallengeWithoutLoad(s *State, storeMS int64) {
+	if l.leader.Epoch == 0 || l.leader.Instance == s.self.Instance || s.shards.led(l.shard, s.now) || storeMS >= l.lease.ExpiresMS {
+		return
+	}
+	l.challengeLeader(s, seenLeader{host: l.leader.Host, epoch: l.leader.Epoch, processors: l.leader.Processors})
+}
+
+// seenLeader is the leader of a shard as this host sees it.
+type seenLeader struct {
+	host       string
+	epoch      structs.Epoch
+	processors float64
+	leads      int // shards that it leads; 0: not known
+}
+
+// challengeLeader asks the leader of a shard to release it if it is weak, or if it leads
+// several shards and this host none.
+func (l *leadership) challengeLeader(s *State, seen seenLeader) {
+	if seen.epoch != l.seenEpoch {
+		l.seenEpoch, l.epochSeenAt = seen.epoch, s.now
 	}
-	if s.stopping || load.Epoch == l.challengedEpoch || s.now-l.loadEpochSeenAt < challengeDelay {
+	if s.stopping || seen.epoch == l.challengedEpoch || s.now-l.epochSeenAt < challengeDelay {
 		return
 	}
-	stronger := load.Processors < weakHostRatio*s.self.Processors
-	lessBusy := load.Leads >= len(s.leaders)+2 && !s.isWeak()
+	stronger := seen.processors < weakHostRatio*s.self.Processors
+	lessBusy := seen.leads >= len(s.leaders)+2 && !s.isWeak()
 	if !stronger && !lessBusy {
 		return
 	}
@@ -255,9 +278,9 @@
 	if !stronger {
 		action = "asked a busier host for the lead"
 	}
-	row := ChallengeRow{Host: s.self.Host, Epoch: load.Epoch, Processors: s.self.Processors, Leads: len(s.leaders)}
-	l.challengedEpoch = load.Epoch
-	s.logDecision(Decision{Part: "leader", Action: action, Subject: s.self.Host, Where: load.Host, Reason: l.shard.String(), Number: uint64(row.Epoch)})
+	row := ChallengeRow{Host: s.self.Host, Epoch: seen.epoch, Processors: s.self.Processors, Leads: len(s.leaders)}
+	l.challengedEpoch = seen.epoch
+	s.logDecision(Decision{Part: "leader", Action: action, Subject: s.self.Host, Where: seen.host, Reason: l.shard.String(), Number: uint64(row.Epoch)})
 	s.commit(Commit{Writes: []Write{{TableControl, l.shard.partition(), KeyChallenge, row}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
 			s.logDecision(Decision{Part: "leader", Action: "request for the lead did not reach the store", Subject: s.self.Host, Reason: outcomeName(c.Outcome), Number: uint64(row.Epoch)})
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -142,12 +142,20 @@
 	processors  float64
 	startTime   time.Duration // that the host takes to send one start; later ones wait
 	sendsUntil  time.Duration // when all starts so far have been sent
+
+	linkBytesPerSecond float64       // of the link on which the store's answers arrive; 0: not limited
+	linkFreeAt         time.Duration // when the link has carried all answers so far
 }
 
 func (sim *simulation) addHost(name string) *fakeHost { return sim.addHostWith(name, 1) }
 
 func (sim *simulation) addHostWith(name string, processors float64) *fakeHost {
-	h := &fakeHost{sim: sim, name: name, processors: processors}
+	return sim.addHostWithLink(name, processors, 0)
+}
+
+// addHostWithLink adds a host whose link carries so many bytes a second from the store.
+func (sim *simulation) addHostWithLink(name string, processors, linkBytesPerSecond float64) *fakeHost {
+	h := &fakeHost{sim: sim, name: name, processors: processors, linkBytesPerSecond: linkBytesPerSecond}
 	sim.hosts = append(sim.hosts, h)
 	h.start()
 	return h
@@ -158,7 +166,7 @@
 	h.state, h.alive, h.frozen, h.deferred, h.started = NewState(), true, false, nil, h.sim.now
 	h.deliver(Started{
 		Host: h.name, Instance: structs.InstanceID(fmt.Sprintf("%s-%d", h.name, h.incarnation)),
-		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: testBounds, ShardWorkers: h.sim.shardWorkers,
+		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: testBounds, ShardWorkers: h.sim.shardWorkers, LinkBytesPerSecond: h.linkBytesPerSecond,
 	})
 }
 
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -24,6 +24,7 @@
 	timers timers.Queue[func()]
 
 	store    storeHealth
+	bulk     bulkReads
 	config   configState
 	requests requestState
 	shards   shardView
@@ -88,6 +89,7 @@
 
 func (s *State) handleStarted(b Started) {
 	s.self, s.bounds = b, b.Bounds
+	s.bulk.init(b.LinkBytesPerSecond)
 	s.logDecision(Decision{Part: "host", Action: "started", Subject: b.Host, Where: string(b.Instance)})
 	s.watchTable(watchKey{table: TableOperator}, s.applyConfigRows, nil)
 	s.pollShards()
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -111,6 +111,7 @@
 	snapshot          []Row
 	oldestPage        structs.Version // lowest version of the pages of a read
 	loadingPartitions int             // partitions whose read is not complete
+	failures          int             // watches in a row without an answer
 }
 
 // watchKey identifies a watch. Each leader of a host has its own; those of the host
@@ -134,8 +135,8 @@
 	}
 }
 
-// loadAll reads all partitions of the table at once: one after another would take
-// too long while the store is slow.
+// loadAll reads all partitions of the table at once, as far as the link allows: one
+// after another would take too long while the store is slow.
 func (w *watch) loadAll(s *State) {
 	partitions := w.table.loadedPartitions()
 	w.snapshot, w.oldestPage, w.loadingPartitions = nil, 0, len(partitions)
@@ -149,7 +150,7 @@
 	if !w.active {
 		return
 	}
-	s.read(ReadRows{Table: w.table, Partition: part, From: from}, func(r RowsRead) {
+	s.readPage(w.table, part, from, func(r RowsRead) {
 		if !w.active {
 			return
 		}
@@ -187,7 +188,7 @@
 	if !w.active {
 		return
 	}
-	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: watchWait, Timeout: watchWait + watchTimeoutSlack}
+	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: watchWait, Timeout: watchWait + watchTimeoutSlack*w.timeoutFactor()}
 	e.ID = s.expectOutcome(func(body EventBody) { w.changed(s, body.(RowsRead)) })
 	s.emit(e)
 }
@@ -203,9 +204,11 @@
 		w.loadAll(s)
 	case r.Outcome != structs.OutcomeDone:
 		s.store.observe(s, r.Outcome)
+		w.failures++
 		s.after(s.jittered(storeRetryDelay), func() { w.wait(s) })
 	default:
 		s.store.observe(s, structs.OutcomeDone)
+		w.failures = 0
 		w.afterVersion = max(w.afterVersion, r.Version)
 		if len(r.Rows) > 0 {
 			w.onRows(r.Rows, false)
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -125,7 +125,7 @@
 	_, _ = rand.Read(seed[:]) // never fails
 	return scheduler.Started{
 		Host: h.settings.Host, Instance: structs.InstanceID(rand.Text()), Seed: binary.LittleEndian.Uint64(seed[:]),
-		Processors: h.settings.Processors, ShardWorkers: h.shardWorkers, Bounds: h.settings.Bounds,
+		Processors: h.settings.Processors, LinkBytesPerSecond: h.settings.LinkBytesPerSecond, ShardWorkers: h.shardWorkers, Bounds: h.settings.Bounds,
 	}
 }
 
