scheduler: a row that the store rejects costs its own job or worker only

Change: entries of services that are not configured are passed over until they are; labels and addresses are bounded in the adapter; plan, used workers, pressures, loads, jobs and parts are kept within the store's limit where they are made, a commit also by its bytes; Committed tells a rejection for good, after which the lease is renewed alone, the row at fault is found and set aside, and the rest is stored. A job that can't be stored is refused at once with 413.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -11,10 +11,14 @@
 const (
 	// commitDelay collects changes of several events into one commit.
 	commitDelay = 25 * time.Millisecond
-	// maxCommitRows keeps the rows of one commit below the store's limit of 100 entries.
-	maxCommitRows = 70
+	// maxCommitRows keeps the rows of one commit below the store's limit of 100 entries,
+	// with its conditions and the lease.
+	maxCommitRows = 80
 	// maxRemovals bounds the removals in one commit.
 	maxRemovals = 10
+	// maxCommitBytes keeps the values of one commit, which grow by a third when they are
+	// encoded for the call, below the store's limit of 1 MB.
+	maxCommitBytes = 600 << 10
 	// pressuresInterval separates writes of the learned pressures.
 	pressuresInterval = 2 * time.Second
 )
@@ -36,6 +40,11 @@
 	usedWorkersChanged bool                   // the list of used workers has to be written
 	removedProgress    []structs.JobID        // jobs that are gone and whose progress is to be removed
 	plan               *ShardPlanRow          // plan of the shards that has to be written; nil: none
+
+	// After a rejection, the next commit renews the lease alone, and those after it
+	// contain fewer rows, until the rejected row is found.
+	renewOnly bool
+	rowLimit  int // rows of the next commit besides the lease; 0: maxCommitRows
 }
 
 func (c *commitState) init(version structs.Version) {
@@ -44,7 +53,11 @@
 }
 
 // markDirty marks a job's progress as changed.
-func (l *leaderState) markDirty(j *job) { l.commits.dirtyJobs[j.ID] = true }
+func (l *leaderState) markDirty(j *job) {
+	if !j.setAside {
+		l.commits.dirtyJobs[j.ID] = true
+	}
+}
 
 // scheduleFlush schedules a commit if something changed. A new claim is committed
 // at once, since starts wait for it.
@@ -73,78 +86,167 @@
 	if l.steppedDown || c.inFlight {
 		return
 	}
-	ids := l.nextJobs()
-	var writes []Write
-	var claims []*job
-	for _, id := range ids {
-		delete(c.dirtyJobs, id)
-		delete(c.newClaims, id)
-		j := l.jobs[id]
-		if j == nil {
-			continue
-		}
-		writes = append(writes, Write{TableProgress, l.shard.partition(), string(id), ProgressRow{j.snapshot()}})
-		if j.ClaimEpoch == l.epoch && !j.claimStored {
-			claims = append(claims, j)
-		}
+	var items []commitItem
+	if c.renewOnly {
+		c.renewOnly = false
+	} else {
+		items = l.takeItems()
 	}
 	// Ends of runs recorded from now on belong to the next commit. Those recorded
 	// so far become durable with this one only if all changed jobs fit into it.
-	partial := len(c.dirtyJobs) > 0
-	if l.isLoaded() && l.state.now-l.pressuresWrittenAt >= pressuresInterval {
-		l.pressuresWrittenAt = l.state.now
-		if row := l.interference.row(); len(row.Pairs) > 0 {
-			writes = append(writes, Write{TableControl, l.shard.partition(), KeyPressures, row})
-		}
+	l.sendCommit(commitContent{items: items, partial: len(c.dirtyJobs) > 0})
+}
+
+// itemKind is the kind of a row in a leader's commit.
+type itemKind uint8
+
+const (
+	itemUsedWorkers itemKind = iota + 1
+	itemPlan
+	itemProgress
+	itemPressures
+	itemRemoval // of the progress of a job that is gone
+)
+
+// commitItem is one row of a leader's commit besides the lease.
+type commitItem struct {
+	kind  itemKind
+	job   structs.JobID // of itemProgress and itemRemoval
+	claim bool          // of itemProgress: it contains a claim that is not stored yet
+	write Write
+}
+
+// commitContent is the content of one commit, kept to repeat it or act on its success.
+type commitContent struct {
+	items   []commitItem
+	partial bool // further changes of jobs remain for the next commit
+}
+
+// itemList collects the rows of one commit up to its limits.
+type itemList struct {
+	items   []commitItem
+	maxRows int
+	bytes   int
+}
+
+// add adds a row, and reports whether there was room for it. The first row always fits.
+func (i *itemList) add(item commitItem) bool {
+	size := rowBytes(item.write.Value)
+	if len(i.items) >= i.maxRows || len(i.items) > 0 && i.bytes+size > maxCommitBytes {
+		return false
 	}
-	var used UsedWorkersRow
-	if c.usedWorkersChanged && l.isLoaded() {
+	i.items, i.bytes = append(i.items, item), i.bytes+size
+	return true
+}
+
+// takeItems removes from the pending changes those that the next commit contains. Newly
+// claimed jobs come first among the jobs, since starts wait for them.
+func (l *leaderState) takeItems() []commitItem {
+	c := &l.commits
+	list := itemList{maxRows: maxCommitRows}
+	if c.rowLimit > 0 {
+		list.maxRows = c.rowLimit
+	}
+	partition := l.shard.partition()
+	if c.usedWorkersChanged && l.isLoaded() && list.add(commitItem{kind: itemUsedWorkers, write: Write{TableControl, partition, KeyUsedWorkers, l.usedWorkers()}}) {
 		c.usedWorkersChanged = false
-		used = l.usedWorkers()
-		writes = append(writes, Write{TableControl, l.shard.partition(), KeyUsedWorkers, used})
 	}
-	plan := c.plan
-	if plan != nil {
+	if c.plan != nil && list.add(commitItem{kind: itemPlan, write: Write{TableShards, partition, KeyPlan, *c.plan}}) {
 		c.plan = nil
-		writes = append(writes, Write{TableShards, l.shard.partition(), KeyPlan, *plan})
 	}
-	removed := c.nextRemovals()
-	for _, id := range removed {
-		writes = append(writes, Write{TableProgress, l.shard.partition(), string(id), nil})
+	l.takeProgress(&list)
+	l.takePressures(&list)
+	for n := 0; n < maxRemovals && len(c.removedProgress) > 0; n++ {
+		id := c.removedProgress[0]
+		if !list.add(commitItem{kind: itemRemoval, job: id, write: Write{TableProgress, partition, string(id), nil}}) {
+			break
+		}
+		c.removedProgress = c.removedProgress[1:]
 	}
-	l.sendCommit(commitContent{writes: writes, progressOf: ids, claims: claims, partial: partial, usedWorkers: used, plan: plan, removed: removed})
+	return list.items
 }
 
-// nextJobs returns the jobs whose progress the next commit contains: newly claimed
-// ones first, since starts wait for them.
-func (l *leaderState) nextJobs() []structs.JobID {
+// takeProgress adds the progress of changed jobs.
+func (l *leaderState) takeProgress(list *itemList) {
 	c := &l.commits
+	for _, id := range c.dirtyOrder() {
+		j := l.jobs[id]
+		if j != nil {
+			item := commitItem{kind: itemProgress, job: id, claim: j.ClaimEpoch == l.epoch && !j.claimStored}
+			item.write = Write{TableProgress, l.shard.partition(), string(id), ProgressRow{j.snapshot()}}
+			if !list.add(item) {
+				return
+			}
+		}
+		delete(c.dirtyJobs, id)
+		delete(c.newClaims, id)
+	}
+}
+
+// dirtyOrder returns the changed jobs, those with new claims first.
+func (c *commitState) dirtyOrder() []structs.JobID {
 	ids := slices.Sorted(maps.Keys(c.newClaims))
 	for _, id := range slices.Sorted(maps.Keys(c.dirtyJobs)) {
 		if !c.newClaims[id] {
 			ids = append(ids, id)
 		}
 	}
-	return ids[:min(len(ids), maxCommitRows)]
+	return ids
 }
 
-// commitContent is the content of one commit, kept to repeat it or act on its success.
-type commitContent struct {
-	writes      []Write
-	progressOf  []structs.JobID // jobs whose progress it contains
-	claims      []*job          // jobs that it claims
-	partial     bool            // further changes remain for the next commit
-	usedWorkers UsedWorkersRow  // list of used workers; nil map: not included
-	plan        *ShardPlanRow   // plan of the shards; nil: not included
-	removed     []structs.JobID // jobs whose progress it removes
+// takePressures adds the learned pressures from time to time.
+func (l *leaderState) takePressures(list *itemList) {
+	if !l.isLoaded() || l.pressuresRejected || l.state.now-l.pressuresWrittenAt < pressuresInterval {
+		return
+	}
+	l.pressuresWrittenAt = l.state.now
+	row := l.interference.row(l.state.bounds.rowLimit())
+	if len(row.Pairs) > 0 {
+		list.add(commitItem{kind: itemPressures, write: Write{TableControl, l.shard.partition(), KeyPressures, row}})
+	}
 }
 
-// usedWorkers returns the workers on which runs may be started or may still exist.
+// putBack returns rows that were not stored to the pending changes.
+func (l *leaderState) putBack(items []commitItem) {
+	c := &l.commits
+	for _, item := range items {
+		switch item.kind {
+		case itemUsedWorkers:
+			c.usedWorkersChanged = true
+		case itemPlan:
+			if c.plan == nil { // a newer plan contains it
+				plan := item.write.Value.(ShardPlanRow)
+				c.plan = &plan
+			}
+		case itemProgress:
+			c.dirtyJobs[item.job] = true
+			if item.claim {
+				c.newClaims[item.job] = true
+			}
+		case itemRemoval:
+			c.removedProgress = append(c.removedProgress, item.job)
+		}
+	}
+}
+
+// usedWorkers returns the workers on which runs may be started or may still exist. Those
+// that the row has no room for are not used.
 func (l *leaderState) usedWorkers() UsedWorkersRow {
 	u := UsedWorkersRow{Workers: make(map[structs.WorkerID]string)}
-	for _, id := range l.workerIDs {
-		if w := l.workers[id]; w.used || w.listsRead {
-			u.Workers[id] = w.entry.Address
+	size := u.bytes()
+	add := func(w *worker) {
+		size += usedWorkerBytes(w.id, w.entry.Address)
+		if size > l.state.bounds.rowLimit() {
+			l.logOnce(TableControl, string(w.id), Decision{Part: "worker", Action: "not used", Subject: string(w.id), Reason: "the list of used workers is full"})
+			return
+		}
+		u.Workers[w.id] = w.entry.Address
+	}
+	for _, used := range []bool{true, false} { // those that may have runs come first
+		for _, id := range l.workerIDs {
+			if w := l.workers[id]; w.used == used && (w.used || w.listsRead) {
+				add(w)
+			}
 		}
 	}
 	return u
@@ -166,7 +268,11 @@
 		lease.ExpiresMS = 0
 	}
 	partition := l.shard.partition()
-	writes := append(slices.Clone(content.writes), Write{TableControl, partition, KeyLease, lease})
+	var writes []Write
+	for _, item := range content.items {
+		writes = append(writes, item.write)
+	}
+	writes = append(writes, Write{TableControl, partition, KeyLease, lease})
 	releaseReason := c.releaseReason
 	l.state.commit(Commit{
 		Conditions: []Condition{{TableControl, partition, KeyLeader, l.leaderVersion}, {TableControl, partition, KeyLease, c.leaseVersion}},
@@ -188,23 +294,17 @@
 			l.stepDown("the lease is held by another host")
 			return
 		}
-		if !done {
-			for _, id := range content.progressOf {
-				c.dirtyJobs[id] = true
-			}
-			for _, j := range content.claims {
-				c.newClaims[j.ID] = true
-			}
-			c.usedWorkersChanged = c.usedWorkersChanged || content.usedWorkers.Workers != nil
-			c.removedProgress = append(c.removedProgress, content.removed...)
-			if c.plan == nil {
-				c.plan = content.plan // a newer plan contains it
-			}
-			c.nextBatch = batch // nothing of it is durable yet
-			l.after(storeRetryDelay, l.flush)
+		if done {
+			l.commitSucceeded(sentAt, batch, content, releaseReason)
 			return
 		}
-		l.commitSucceeded(sentAt, batch, content, releaseReason)
+		c.nextBatch = batch // nothing of it is durable yet
+		if r.Rejected {
+			l.isolateRejected(content.items, r.RejectedWrites)
+			return
+		}
+		l.putBack(content.items)
+		l.after(storeRetryDelay, l.flush)
 	})
 }
 
@@ -239,20 +339,9 @@
 	if !content.partial {
 		c.durableBatch = batch
 	}
-	if content.usedWorkers.Workers != nil {
-		l.usedWorkersStored(content.usedWorkers)
-	}
-	if content.plan != nil {
-		l.planStored(*content.plan)
-	}
-	for _, j := range content.claims {
-		j.claimStored = true
-		l.schedule.requestPass()
-	}
-	for _, id := range content.progressOf {
-		if j := l.jobs[id]; j != nil {
-			l.progressStored(j)
-		}
+	c.widen(len(content.items))
+	for _, item := range content.items {
+		l.itemStored(item)
 	}
 	for _, id := range l.workerIDs {
 		l.workers[id].advanceAck()
@@ -262,6 +351,36 @@
 	}
 }
 
+// widen lets later commits contain more rows again after one with rows succeeded.
+func (c *commitState) widen(stored int) {
+	if c.rowLimit == 0 || stored == 0 {
+		return
+	}
+	if c.rowLimit *= 2; c.rowLimit >= maxCommitRows {
+		c.rowLimit = 0
+	}
+}
+
+// itemStored acts on a row that has been stored.
+func (l *leaderState) itemStored(item commitItem) {
+	switch item.kind {
+	case itemUsedWorkers:
+		l.usedWorkersStored(item.write.Value.(UsedWorkersRow))
+	case itemPlan:
+		l.planStored(item.write.Value.(ShardPlanRow))
+	case itemProgress:
+		j := l.jobs[item.job]
+		if j == nil {
+			return
+		}
+		if item.claim {
+			j.claimStored = true
+			l.schedule.requestPass()
+		}
+		l.progressStored(j)
+	}
+}
+
 // usedWorkersStored allows starts on the workers that the store now lists as used.
 func (l *leaderState) usedWorkersStored(u UsedWorkersRow) {
 	for _, id := range l.workerIDs {
@@ -281,10 +400,3 @@
 	v.plan, v.planVersion, v.planned = plan, l.commits.leaseVersion, max(v.planned, plan.Shards)
 	l.state.planChanged()
 }
-
-// nextRemovals returns the jobs whose progress the next commit removes.
-func (c *commitState) nextRemovals() []structs.JobID {
-	ids := c.removedProgress[:min(len(c.removedProgress), maxRemovals)]
-	c.removedProgress = c.removedProgress[len(ids):]
-	return ids
-}
--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -11,6 +11,8 @@
 	current structs.QueueConfiguration
 	loaded  bool
 	byName  map[string]*structs.Queue
+	// services are those that the configuration lists or sends queues to.
+	services map[string]bool
 
 	unreadable structs.Version // of the last row that could not be read
 }
@@ -41,9 +43,13 @@
 	if s.config.loaded && c.Number <= s.config.current.Number {
 		return
 	}
-	s.config = configState{current: c, loaded: true, byName: make(map[string]*structs.Queue, len(c.Queues))}
+	s.config = configState{current: c, loaded: true, byName: make(map[string]*structs.Queue, len(c.Queues)), services: make(map[string]bool)}
 	for i := range c.Queues {
 		s.config.byName[c.Queues[i].Name] = &c.Queues[i]
+		s.config.services[c.Queues[i].Policy.Service] = true
+	}
+	for _, service := range c.Services {
+		s.config.services[service] = true
 	}
 	s.logDecision(Decision{Part: "config", Action: "configuration in force", Subject: s.self.Host, Number: c.Number})
 	for _, l := range s.leaders {
@@ -51,6 +57,9 @@
 	}
 }
 
+// namesService reports whether the configuration names a service.
+func (c *configState) namesService(service string) bool { return c.services[service] }
+
 // queueOf returns the queue of a request and the rest of its path. The longest
 // matching prefix decides.
 func (c *configState) queueOf(host, path string) (*structs.Queue, string) {
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -46,6 +46,7 @@
 	StopTimeout         time.Duration // a worker ends a stopped run within this time
 	FinalStateRetention time.Duration // final states of jobs are kept at least this long
 	StopGracePeriod     time.Duration // from the signal to stop until the process is killed
+	MaxRowBytes         int           // limit of the store for the value of a row; 0: the default
 }
 
 // TimerFired reports that the deadline from NextDeadline has passed.
@@ -108,6 +109,11 @@
 	Version   structs.Version
 	StoreMS   int64
 	Conflicts []TableRow // current rows of the conditions, when a condition failed
+	// Rejected is set when the store refuses the commit for what it contains, so that it
+	// can never succeed unchanged. RejectedWrites are the indexes of the writes at fault;
+	// empty: not known.
+	Rejected       bool
+	RejectedWrites []int
 }
 
 // TableRow is a row with its table.
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -50,8 +50,10 @@
 // expire removes the job row and then the other rows of the job.
 func (l *leaderState) expire(j *job) {
 	j.expiring = true
+	keys := j.rowKeys()
+	first := keys[:min(len(keys), maxCommitRows)]
 	var removals []Write
-	for _, key := range j.rowKeys() {
+	for _, key := range first {
 		removals = append(removals, Write{TableJobs, jobPartition(j.ID), key, nil})
 	}
 	l.state.commit(Commit{Writes: removals}, func(c Committed) {
@@ -62,6 +64,10 @@
 			j.expiring = false // retried after expireInterval
 			return
 		}
+		if len(first) < len(keys) {
+			j.partKeys, j.expiring = keys[len(first):], false
+			return
+		}
 		delete(l.jobs, j.ID)
 		l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
 		if l.cancelled[j.ID] && j.Part == nil {
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -75,24 +77,41 @@
 	return id
 }
 
-// row returns the learned estimates as a row of the store.
-func (m *interferenceModel) row() PressuresRow {
-	var row PressuresRow
+// row returns the learned estimates as a row of the store of at most limit bytes: base
+// tails first, then the pairs with the most certain estimates.
+func (m *interferenceModel) row(limit int) PressuresRow {
+	var all PressuresRow
 	for id, ms := range m.baseTailsMS {
 		if ms > 0 {
-			row.Bases = append(row.Bases, BaseTailEntry{m.images[id], ms})
+			all.Bases = append(all.Bases, BaseTailEntry{m.images[id], ms})
 		}
 	}
 	for serving, pairs := range m.pressures {
 		for bestEffort, p := range pairs {
 			if p != priorEstimate {
-				row.Pairs = append(row.Pairs, PressureEntry{m.images[serving], m.images[bestEffort], p.value, p.variance})
+				all.Pairs = append(all.Pairs, PressureEntry{m.images[serving], m.images[bestEffort], p.value, p.variance})
 			}
 		}
 	}
+	slices.SortStableFunc(all.Pairs, func(a, b PressureEntry) int { return cmp.Compare(a.Variance, b.Variance) })
+	var row PressuresRow
+	left := limit - row.bytes()
+	row.Bases = fitting(all.Bases, &left)
+	row.Pairs = fitting(all.Pairs, &left)
 	return row
 }
 
+// fitting returns the first entries that fit into the bytes that are left, and subtracts
+// their sizes.
+func fitting[E interface{ bytes() int }](entries []E, left *int) []E {
+	for i, e := range entries {
+		if *left -= e.bytes(); *left < 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // pressureOn returns the pressure of a best-effort image on a serving image.
 func (m *interferenceModel) pressureOn(serving, bestEffort imageID) float64 {
 	if pairs := m.pressures[serving]; int(bestEffort) < len(pairs) {
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -19,6 +19,7 @@
 	admitted       bool    // its progress has been restored and it can be scheduled
 	admittedAt     Instant
 	rowVersion     structs.Version // of its job row
+	setAside       bool            // the store rejects its progress
 	moveInFlight   bool            // the job row is being given to another shard
 	writtenParts   map[string]bool // keys of the rows of given parts that this leader has written
 	partKeys       []string        // keys of the rows of parts that this shard was given
@@ -150,7 +151,7 @@
 
 // schedulable reports whether tasks of the job may be started.
 func (j *job) schedulable() bool {
-	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving
+	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving && !j.setAside
 }
 
 // snapshot returns the progress to be stored. The slices and maps are copies,
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -29,9 +29,12 @@
 	jobs            map[structs.JobID]*job
 	openJobs        []*job                                   // admitted jobs that are not final, in order of admission
 	entries         map[structs.WorkerID]structs.WorkerEntry // the platform's list, with the workers of all shards
+	otherEntries    map[structs.WorkerID]structs.WorkerEntry // entries with services that are not configured
+	absentSince     map[string]Instant                       // racks of the plan without listed workers
 	entriesAtGrowth int                                      // number of entries when it last changed, before the first plan
 	entriesGrewAt   Instant
 	newestPlan      *ShardPlanRow                // last plan that this leader made; nil: none
+	planRejectedAt  Instant                      // when the store last rejected a plan; 0: never
 	workers         map[structs.WorkerID]*worker // of this shard
 	workerIDs       []structs.WorkerID           // of workers, sorted
 	cancelled       map[structs.JobID]bool       // cancellations of jobs of all shards
@@ -50,7 +53,8 @@
 	advice             adviceState
 	loadInFlight       bool // a write of the load is in flight
 	pressuresWrittenAt Instant
-	unreadable         map[tableKey]bool // rows whose unreadable values have been logged
+	pressuresRejected  bool              // the store rejects the row of the learned pressures
+	logged             map[tableKey]bool // rows for which logOnce has written a line
 }
 
 // tableKey identifies a row.
@@ -59,18 +63,23 @@
 	key   string
 }
 
-// maxUnreadableRows bounds the rows that are remembered as logged.
-const maxUnreadableRows = 1000
+// maxLoggedRows bounds the rows that are remembered as logged.
+const maxLoggedRows = 1000
 
 // logUnreadable logs a row that cannot be used, once for each row: its writer may
 // write it again and again.
 func (l *leaderState) logUnreadable(t Table, r Row, part, action string) {
-	key := tableKey{t, r.Key}
-	if l.unreadable[key] || len(l.unreadable) >= maxUnreadableRows {
+	l.logOnce(t, r.Key, Decision{Part: part, Action: action, Subject: r.Key, Number: uint64(r.Version)})
+}
+
+// logOnce logs a decision about a row, once for each row.
+func (l *leaderState) logOnce(t Table, rowKey string, d Decision) {
+	key := tableKey{t, rowKey}
+	if l.logged[key] || len(l.logged) >= maxLoggedRows {
 		return
 	}
-	l.unreadable[key] = true
-	l.state.logDecision(Decision{Part: part, Action: action, Subject: r.Key, Number: uint64(r.Version)})
+	l.logged[key] = true
+	l.state.logDecision(d)
 }
 
 // becomeLeader creates the leader's state after a takeover that was sent at sentAt,
@@ -80,9 +89,10 @@
 		state: s, shard: of.shard, epoch: attempt.epoch, leaderVersion: of.leaderVersion, tookOverAt: s.now,
 		leaseValidUntil: attempt.sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now,
 		loadingTables: make(map[Table]bool), jobs: make(map[structs.JobID]*job), entries: make(map[structs.WorkerID]structs.WorkerEntry),
+		otherEntries: make(map[structs.WorkerID]structs.WorkerEntry), absentSince: make(map[string]Instant),
 		workers: make(map[structs.WorkerID]*worker), cancelled: make(map[structs.JobID]bool),
 		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool),
-		unreadable: make(map[tableKey]bool), interference: newInterference(of.pressures),
+		logged: make(map[tableKey]bool), interference: newInterference(of.pressures),
 	}
 	l.commits.init(of.leaderVersion)
 	l.starts.init()
@@ -213,8 +223,12 @@
 	l.scheduleFlush()
 }
 
-// configChanged requests a pass, since policies may have changed.
-func (l *leaderState) configChanged() { l.schedule.requestPass() }
+// configChanged applies the entries whose services are configured now, and requests a
+// pass, since policies may have changed.
+func (l *leaderState) configChanged() {
+	l.admitEntries()
+	l.schedule.requestPass()
+}
 
 // after calls fire once d has passed, unless this host has stepped down.
 func (l *leaderState) after(d time.Duration, fire func()) {
--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -129,6 +129,10 @@
 			l.forgetMoved(j)
 			return
 		}
+		if c.Rejected {
+			l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: string(j.ID), Where: TableJobs.String()})
+			return
+		}
 		l.after(storeRetryDelay, func() { l.continueMove(j) })
 	})
 }
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -56,8 +56,7 @@
 		load := loads[target][service]
 		load.subtract(step, len(tasks))
 		loads[target][service] = load
-		l.giveTasks(j, target, tasks, from.shards)
-		given = true
+		given = l.giveTasks(j, target, tasks, from.shards) || given
 	}
 	return given
 }
@@ -87,9 +86,22 @@
 	return groups
 }
 
-// giveTasks lists tasks as given. Their row is written once the list is stored.
-func (l *leaderState) giveTasks(j *job, to ShardID, tasks, from []int) {
-	part := structs.JobPart{Key: l.partKey(j, to), Shard: int(to), Tasks: slices.Clone(tasks), From: append(slices.Clone(from), int(l.shard))}
+// partWithin returns how many of the tasks can be given in one part, so that its row and
+// the job's progress, which lists it, stay within the store's limit.
+func (l *leaderState) partWithin(j *job, part structs.JobPart, tasks int) int {
+	limit := l.state.bounds.rowLimit()
+	left := min(limit-jobBytes(&j.Job), limit-progressBytes(&j.Progress)) - partBytes(&part)
+	return min(max(left/taskNumberBytes, 0), tasks)
+}
+
+// giveTasks lists tasks as given, as far as their rows have room, and reports whether it
+// gave any. Their row is written once the list is stored.
+func (l *leaderState) giveTasks(j *job, to ShardID, tasks, from []int) bool {
+	part := structs.JobPart{Key: l.partKey(j, to), Shard: int(to), From: append(slices.Clone(from), int(l.shard))}
+	if tasks = tasks[:l.partWithin(j, part, len(tasks))]; len(tasks) == 0 {
+		return false
+	}
+	part.Tasks = slices.Clone(tasks)
 	for _, n := range tasks {
 		part.FirstRun = max(part.FirstRun, j.tasks[n].lastRun+1)
 	}
@@ -98,6 +110,7 @@
 	l.markStarted(j)
 	l.markDirty(j)
 	l.state.logDecision(Decision{Part: "job", Action: "tasks given to another shard", Subject: string(j.ID), Where: to.String(), Reason: "no room in " + l.shard.String(), Age: l.state.now - j.waitingSince, Number: uint64(len(tasks))})
+	return true
 }
 
 // setElsewhere marks tasks as scheduled by another shard, or by this one.
@@ -143,6 +156,10 @@
 		if l.steppedDown || c.Outcome == structs.OutcomeDone || len(c.Conflicts) > 0 {
 			return // written now or by an earlier attempt
 		}
+		if c.Rejected {
+			l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: part.Key, Where: TableJobs.String()})
+			return
+		}
 		l.after(storeRetryDelay, func() {
 			if l.jobs[j.ID] == j && !j.State.Final() {
 				l.writePart(j, part)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -57,6 +58,10 @@
 	if l.shard != plannerShard || !l.isLoaded() || l.waitsForRacks() {
 		return
 	}
+	now := l.state.now
+	if l.planRejectedAt > 0 && now-l.planRejectedAt < planRetryDelay {
+		return
+	}
 	plan := l.state.shards.plan
 	if l.newestPlan != nil {
 		plan = *l.newestPlan // it may not be stored yet
@@ -70,6 +75,7 @@
 			newRacks[key] = max(newRacks[key], id)
 		}
 	}
+	l.trackAbsentRacks(plan, counts)
 	if len(newRacks) == 0 {
 		return
 	}
@@ -77,6 +83,9 @@
 	if plan.Racks == nil {
 		plan.Racks = make(map[string]ShardID)
 	}
+	if l.boundPlan(&plan, newRacks); len(newRacks) == 0 {
+		return
+	}
 	for id := range l.entries {
 		// Former leaders of a deployment without a plan used all workers.
 		if w := l.workers[id]; w != nil && w.used {
@@ -92,6 +101,58 @@
 	l.state.logDecision(Decision{Part: "leader", Action: "racks assigned to shards", Subject: l.state.self.Host, Number: uint64(plan.Shards)})
 }
 
+// absentRackRetention is how long a rack stays in a plan that is full after its last
+// worker has left the list. No run and no lease of its workers lasts that long.
+const absentRackRetention = 2 * time.Minute
+
+// trackAbsentRacks records since when the racks of the plan have had no listed worker.
+func (l *leaderState) trackAbsentRacks(plan ShardPlanRow, counts map[string]int) {
+	for rack := range plan.Racks {
+		if counts[rack] > 0 {
+			delete(l.absentSince, rack)
+		} else if _, known := l.absentSince[rack]; !known {
+			l.absentSince[rack] = l.state.now
+		}
+	}
+}
+
+// longestAbsent returns the racks of the plan without listed workers, the one that has
+// been without for the longest time first.
+func (l *leaderState) longestAbsent() []string {
+	return slices.SortedFunc(maps.Keys(l.absentSince), func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.absentSince[a], l.absentSince[b]), cmp.Compare(a, b))
+	})
+}
+
+// boundPlan keeps a plan with new racks within the limit of a row. It removes racks that
+// have long had no worker, and then leaves out the new racks that do not fit: only their
+// own workers are not used.
+func (l *leaderState) boundPlan(plan *ShardPlanRow, newRacks map[string]structs.WorkerID) {
+	left := l.state.bounds.rowLimit() - plan.bytes()
+	for rack := range newRacks {
+		left -= rackBytes(rack)
+	}
+	if left >= 0 {
+		return
+	}
+	for _, rack := range l.longestAbsent() {
+		if left >= 0 || l.state.now-l.absentSince[rack] < absentRackRetention {
+			break
+		}
+		delete(plan.Racks, rack)
+		delete(l.absentSince, rack)
+		left += rackBytes(rack)
+	}
+	for _, rack := range slices.Backward(slices.Sorted(maps.Keys(newRacks))) {
+		if left >= 0 {
+			return
+		}
+		l.logOnce(TableShards, rack, Decision{Part: "leader", Action: "rack left out of the plan", Subject: rack, Reason: "the plan is full"})
+		delete(newRacks, rack)
+		left += rackBytes(rack)
+	}
+}
+
 // waitsForRacks reports whether the first plan should wait for further workers.
 func (l *leaderState) waitsForRacks() bool {
 	now := l.state.now
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -17,6 +17,9 @@
 	// deadlines do not overflow.
 	maxEstimate = 24 * time.Hour
 	maxRepeatMS = 100_000_000_000_000
+	// jobRowReserve is the share of a job row, one in so many, that is left for its later
+	// changes.
+	jobRowReserve = 16
 	// answerReserve is the part of a caller's timeout reserved for the answer to arrive.
 	answerReserve = 150 * time.Millisecond
 	// defaultRequestTimeout applies to callers that do not send a timeout.
@@ -129,6 +132,10 @@
 		s.answer(r, Answer{Status: AnswerInvalid, Reason: reason})
 		return
 	}
+	if limit := s.bounds.rowLimit(); jobBytes(&job) > limit-limit/jobRowReserve {
+		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"})
+		return
+	}
 	if s.store.shouldRefuse() {
 		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter})
 		return
@@ -155,6 +162,9 @@
 	case len(c.Conflicts) > 0:
 		// The job has been stored by an earlier request or attempt.
 		s.answer(r, Answer{Status: AnswerOK})
+	case c.Rejected:
+		// An earlier attempt without an answer had the same content.
+		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the store rejects the job"})
 	case c.Outcome == structs.OutcomeNotDone && !r.commitUnknown:
 		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store refused the job", RetryAfter: retryAfter})
 	default:
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -158,7 +161,32 @@
 		load.subtractWaiting(j)
 		row.Services[service] = load
 	}
-	return row
+	return row.within(s.bounds.rowLimit())
+}
+
+// within returns the load within a size. Labels go first, and then the shortest queues:
+// without them jobs are placed with less knowledge, and queues are told shorter.
+func (r ShardLoadRow) within(limit int) ShardLoadRow {
+	over := r.bytes() - limit
+	for over > 0 && len(r.Labels) > 0 {
+		last := len(r.Labels) - 1
+		over -= textFrame + textBytes(r.Labels[last])
+		r.Labels = r.Labels[:last]
+	}
+	if over <= 0 {
+		return r
+	}
+	queues := slices.SortedFunc(maps.Keys(r.QueueLengths), func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.QueueLengths[a], r.QueueLengths[b]), cmp.Compare(a, b))
+	})
+	for _, queue := range queues {
+		if over <= 0 {
+			break
+		}
+		over -= queueLengthsFrame + textBytes(queue)
+		delete(r.QueueLengths, queue)
+	}
+	return r
 }
 
 // subtractWaiting subtracts what the waiting tasks of a job request whose turn has
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -72,6 +72,7 @@
 func (l *leaderState) applyWorkerRows(rows []Row, all bool) {
 	if all {
 		clear(l.entries)
+		clear(l.otherEntries)
 		for _, id := range l.workerIDs {
 			l.workers[id].listed = false
 		}
@@ -81,18 +82,23 @@
 		v, ok := r.Value.(WorkerRow)
 		switch {
 		case r.Removed:
-			delete(l.entries, id)
+			l.forgetEntry(id)
 			if w := l.workers[id]; w != nil {
 				w.listed = false
 				l.state.logDecision(Decision{Part: "worker", Action: "left the list", Subject: r.Key, Number: uint64(r.Version)})
 			}
 		case !ok:
-			delete(l.entries, id)
+			l.forgetEntry(id)
 			if w := l.workers[id]; w != nil {
 				w.listed = false
 			}
 			l.logUnreadable(TableWorkers, r, "worker", "entry cannot be read")
+		case l.workers[id] == nil && !l.state.config.namesService(v.Service):
+			l.forgetEntry(id)
+			l.otherEntries[id] = v.WorkerEntry
+			l.logUnreadable(TableWorkers, r, "worker", "entry names a service that is not configured")
 		default:
+			delete(l.otherEntries, id)
 			l.entries[id] = v.WorkerEntry
 			if l.isMine(id, &v.WorkerEntry) {
 				l.applyEntry(id, v.WorkerEntry)
@@ -103,6 +109,27 @@
 	l.schedule.requestPass()
 }
 
+func (l *leaderState) forgetEntry(id structs.WorkerID) {
+	delete(l.entries, id)
+	delete(l.otherEntries, id)
+}
+
+// admitEntries applies the entries whose services are configured now.
+func (l *leaderState) admitEntries() {
+	for _, id := range slices.Sorted(maps.Keys(l.otherEntries)) {
+		e := l.otherEntries[id]
+		if !l.state.config.namesService(e.Service) {
+			continue
+		}
+		delete(l.otherEntries, id)
+		l.entries[id] = e
+		if l.isMine(id, &e) {
+			l.applyEntry(id, e)
+		}
+	}
+	l.assignRacks()
+}
+
 func (l *leaderState) applyEntry(id structs.WorkerID, e structs.WorkerEntry) {
 	w := l.addWorker(id)
 	if e.Draining && !w.entry.Draining {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -179,9 +179,10 @@
 
 // QueueConfiguration is one accepted version of the queues and their services.
 type QueueConfiguration struct {
-	Number  uint64
-	Queues  []Queue
-	MaxBody int64 // limit on a request body, bytes; 0: the default
+	Number   uint64
+	Queues   []Queue
+	Services []string // names of the services
+	MaxBody  int64    // limit on a request body, bytes; 0: the default
 }
 
 // WorkerEntry describes a worker in the platform's list.
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -98,7 +98,7 @@
 			MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, IdleTimeout: clientIdleTimeout, DialTimeout: dialTimeout,
 		}))
 	}
-	h.store = platform.NewStore(client(storeConnections), s.Store)
+	h.store = platform.NewStore(client(storeConnections), s.Store, s.Bounds.MaxRowBytes)
 	h.workers = platform.NewWorkers(client(workerConnections))
 	h.advisor = platform.NewAdvisor(client(1), s.Advice)
 	h.requests = newRequestHandler(h)
