scheduler: a worker is reconciled once it has listed all of its ends

Cause, from the logs: a worker lists 500 ends at a time and further ones once these are acknowledged; the new leader logs `lists read` after the first answer, starts the tasks whose ends were not among the 500, and reads their `done` afterwards. Without a change of the leader, a confirmed run in neither list counted as lost in the same way.

Change: the outcome of a sync says whether further ends may follow. Until then the worker is not reconciled, its unlisted runs are kept, its lease is renewed, and ends are acknowledged even while a start is unconfirmed.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -147,6 +147,9 @@
 	Incarnation int64 // start time of the worker, which identifies its incarnation
 	Active      []structs.ActiveRun
 	Ended       []structs.EndedRun
+	// MoreEnded is set when further ends may follow the last one of Ended. The worker
+	// lists them once those before them are acknowledged.
+	MoreEnded bool
 }
 
 // CommandDone is the outcome of a StartTask, StopTask or ThrottleTask.
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -41,6 +41,9 @@
 	gauge   func(*fakeRun) int64 // the gauge of a run
 }
 
+// fakeMaxListedEnds is the most ended runs that a worker lists in one answer.
+const fakeMaxListedEnds = 500
+
 // startOutcome is the outcome of a start command.
 type startOutcome int
 
@@ -337,7 +340,11 @@
 }
 
 func (f *fakeWorker) syncResult(id EffectID) WorkerSynced {
-	result := WorkerSynced{Effect: id, Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation, Ended: slices.Clone(f.endedRuns)}
+	listed := f.endedRuns[:min(len(f.endedRuns), fakeMaxListedEnds)]
+	result := WorkerSynced{
+		Effect: id, Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation,
+		Ended: slices.Clone(listed), MoreEnded: len(listed) == fakeMaxListedEnds,
+	}
 	for _, r := range f.sortedRuns() {
 		// A persistent task reports 100 percent once it has started up.
 		percent := min(100, int(100*r.workDone(f.sim.now)/max(r.work, 1)))
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -7,7 +7,8 @@
 )
 
 // reconcile updates the leader's view of a worker's runs from the worker's list
-// of active runs, which answers a sync sent at sent.
+// of active runs, which answers a sync sent at sent. A run that is not listed may be among
+// the ends that the worker has not listed yet.
 func (w *worker) reconcile(active []structs.ActiveRun, sent Instant) {
 	l := w.leader
 	listed := make(map[runKey]bool, len(active))
@@ -44,6 +45,8 @@
 func (w *worker) handleUnlistedRun(r *run, sent Instant) {
 	l := w.leader
 	switch {
+	case w.moreEnded && r.phase != phaseUnknown:
+		// Its end may be among those that follow.
 	case r.stopAckedAt > 0 && r.stopAckedAt <= sent:
 		l.runLost(r, "stopped before it began") // the worker refuses the run from now on
 	case r.phase == phaseStarting:
@@ -99,7 +102,7 @@
 	if len(w.runs) > 0 {
 		w.boundLeases()
 	}
-	w.incarnation, w.listsRead, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, 0, 0, nil
+	w.incarnation, w.listsRead, w.moreEnded, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, false, 0, 0, nil
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.leader.markReconciled(w.id)
 	w.throttle = throttleState{speedLimit: fullSpeed}
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -58,13 +58,14 @@
 	}
 	e := SyncWorker{WorkerCommand: l.newCommand(w)}
 	// An unconfirmed start may have reached the next incarnation of the worker, which
-	// numbers its ends from 1: an acknowledgement would discard them unread.
-	if !w.hasUnconfirmedRun() {
+	// numbers its ends from 1: an acknowledgement would discard them unread. Without one,
+	// on the other hand, a worker lists no further ends.
+	if !w.hasUnconfirmedRun() || w.moreEnded {
 		e.AckedThrough = w.durableEnd
 	}
 	// The lease of a worker that does not answer is not renewed: otherwise each sync
 	// would postpone the time after which its runs are certainly over.
-	if w.listsRead && w.failedSyncs == 0 {
+	if (w.listsRead || w.moreEnded) && w.failedSyncs == 0 {
 		e.LeaseEndMS = w.newLeaseEnd(l.state.now, l.state.bounds)
 		w.recordLeaseEnd(e.LeaseEndMS)
 		e.Wait = w.syncWaitTime()
@@ -85,7 +86,7 @@
 // sync.
 func (w *worker) syncWaitTime() time.Duration {
 	switch {
-	case !w.runsFiniteTask():
+	case !w.runsFiniteTask() || !w.listsRead || w.moreEnded:
 		return 0
 	case w.isShared():
 		return sharedSyncWait
@@ -140,8 +141,9 @@
 			l.handleRunEnd(w, e)
 		}
 	}
+	w.moreEnded = h.MoreEnded
 	w.reconcile(h.Active, sent)
-	if !w.listsRead {
+	if !w.listsRead && !w.moreEnded {
 		w.listsRead = true
 		l.state.logDecision(Decision{Part: "worker", Action: "lists read", Subject: string(w.id), Number: uint64(l.epoch)})
 		l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || !w.used
@@ -157,7 +159,7 @@
 // scheduleNextSync schedules the next sync after an answered one.
 func (w *worker) scheduleNextSync() {
 	switch {
-	case w.runsFiniteTask() || len(w.pendingAcks) > 0:
+	case w.runsFiniteTask() || len(w.pendingAcks) > 0 || w.moreEnded:
 		w.syncSoon()
 	case len(w.runs) > 0:
 		w.syncIn(persistentSyncInterval)
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -17,7 +17,8 @@
 	listed bool // it is in the platform's list
 	used   bool // it is in the stored list of used workers; nothing is started on others
 
-	listsRead          bool    // its lists have been read under this epoch
+	listsRead          bool    // its lists have been read completely under this epoch
+	moreEnded          bool    // its last answer did not list all ends
 	answeredSyncSentAt Instant // when the last answered sync was sent
 	syncedAt           Instant // when the last sync was answered
 	incarnation        int64   // start time that identifies its incarnation; 0: not known
