scheduler: the progress of a job is stored in rows of 64 tasks

Cause, from the refusals of the store: all checkpoints of a job were in one row, 28 bytes for each task; 82 KB are over RowBytes. Failed runs grow in the same row.

Change: failed runs and checkpoints of each 64 tasks beyond the first are a row of their own, written when it changes and before the first row; checkpoints over 256 bytes are not kept. Rows of a former version are divided when they are written again; rows whose job is gone are removed.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -38,7 +38,7 @@
 	nextBatch          uint64                 // number of the commit that will contain the current changes
 	durableBatch       uint64                 // all commits up to this one are stored
 	usedWorkersChanged bool                   // the list of used workers has to be written
-	removedProgress    []structs.JobID        // jobs that are gone and whose progress is to be removed
+	removedProgress    []string               // keys of rows of progress that are to be removed
 	plan               *ShardPlanRow          // plan of the shards that has to be written; nil: none
 
 	// After a rejection, the next commit renews the lease alone, and those after it
@@ -104,14 +104,16 @@
 	itemUsedWorkers itemKind = iota + 1
 	itemPlan
 	itemProgress
+	itemProgressGroup // a further row of the progress of a job
 	itemPressures
-	itemRemoval // of the progress of a job that is gone
+	itemRemoval // of a row of the progress of a job that is gone
 )
 
 // commitItem is one row of a leader's commit besides the lease.
 type commitItem struct {
 	kind  itemKind
-	job   structs.JobID // of itemProgress and itemRemoval
+	job   structs.JobID // of itemProgress and itemProgressGroup
+	group int           // of itemProgressGroup
 	claim bool          // of itemProgress: it contains a claim that is not stored yet
 	write Write
 }
@@ -157,8 +159,7 @@
 	l.takeProgress(&list)
 	l.takePressures(&list)
 	for n := 0; n < maxRemovals && len(c.removedProgress) > 0; n++ {
-		id := c.removedProgress[0]
-		if !list.add(commitItem{kind: itemRemoval, job: id, write: Write{TableProgress, partition, string(id), nil}}) {
+		if !list.add(commitItem{kind: itemRemoval, write: Write{TableProgress, partition, c.removedProgress[0], nil}}) {
 			break
 		}
 		c.removedProgress = c.removedProgress[1:]
@@ -166,23 +167,6 @@
 	return list.items
 }
 
-// takeProgress adds the progress of changed jobs.
-func (l *leaderState) takeProgress(list *itemList) {
-	c := &l.commits
-	for _, id := range c.dirtyOrder() {
-		j := l.jobs[id]
-		if j != nil {
-			item := commitItem{kind: itemProgress, job: id, claim: j.ClaimEpoch == l.epoch && !j.claimStored}
-			item.write = Write{TableProgress, l.shard.partition(), string(id), ProgressRow{j.snapshot()}}
-			if !list.add(item) {
-				return
-			}
-		}
-		delete(c.dirtyJobs, id)
-		delete(c.newClaims, id)
-	}
-}
-
 // dirtyOrder returns the changed jobs, those with new claims first.
 func (c *commitState) dirtyOrder() []structs.JobID {
 	ids := slices.Sorted(maps.Keys(c.newClaims))
@@ -223,8 +207,13 @@
 			if item.claim {
 				c.newClaims[item.job] = true
 			}
+		case itemProgressGroup:
+			if j := l.jobs[item.job]; j != nil {
+				j.markGroupDirty(item.group)
+				l.markDirty(j)
+			}
 		case itemRemoval:
-			c.removedProgress = append(c.removedProgress, item.job)
+			c.removedProgress = append(c.removedProgress, item.write.Key)
 		}
 	}
 }
@@ -378,6 +367,10 @@
 			l.schedule.requestPass()
 		}
 		l.progressStored(j)
+	case itemProgressGroup:
+		if j := l.jobs[item.job]; j != nil {
+			j.markGroupStored(item.group)
+		}
 	}
 }
 
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -69,7 +69,7 @@
 			return
 		}
 		delete(l.jobs, j.ID)
-		l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
+		l.commits.removedProgress = append(l.commits.removedProgress, j.progressKeys()...)
 		if l.cancelled[j.ID] && j.Part == nil {
 			l.removeCancel(j.ID)
 		}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	admittedAt     Instant
 	rowVersion     structs.Version // of its job row
 	setAside       bool            // the store rejects its progress
+	dirtyGroups    map[int]bool    // further rows of its progress that have to be written
+	storedGroups   map[int]bool    // further rows of its progress that exist
 	moveInFlight   bool            // the job row is being given to another shard
 	writtenParts   map[string]bool // keys of the rows of given parts that this leader has written
 	partKeys       []string        // keys of the rows of parts that this shard was given
@@ -154,10 +157,6 @@
 	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving && !j.setAside
 }
 
-// snapshot returns the progress to be stored. The slices and maps are copies,
-// because the effect that carries them may be executed after later changes.
-func (j *job) snapshot() structs.Progress { return cloneProgress(j.Progress) }
-
 func cloneProgress(p structs.Progress) structs.Progress {
 	p.Done = slices.Clone(p.Done)
 	p.Failures = cloneMap(p.Failures)
@@ -285,7 +284,13 @@
 	j.admitted, j.admittedAt, j.waitingSince = true, l.state.now, l.state.now
 	if p, ok := l.loadedProgress[j.ID]; ok {
 		j.restore(p)
+		j.markGroupsOfFirstRow()
+	}
+	groups := l.loadedGroups[j.ID]
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		j.restoreGroup(key, groups[key])
 	}
+	delete(l.loadedGroups, j.ID)
 	j.inherited = j.ClaimEpoch > 0
 	if j.State.Final() {
 		j.finalAt = l.state.now
@@ -348,7 +353,7 @@
 func (l *leaderState) finishJob(j *job, state structs.JobState, reason string) {
 	j.State = state
 	j.finalAt = l.state.now
-	j.Checkpoints = nil
+	j.Checkpoints, j.dirtyGroups = nil, nil
 	l.markDirty(j)
 	l.state.logDecision(Decision{Part: "job", Action: "job " + string(state), Subject: string(j.ID), Where: j.Queue, Reason: reason, Age: l.state.now - j.submittedAt, Number: uint64(l.epoch)})
 	for i := range j.tasks {
@@ -398,16 +403,16 @@
 		w.keepFree(j, restartHoldTime)
 		return
 	}
-	if slices.Contains(j.Failures[n], id) {
+	limit := l.state.config.policyOf(&j.Job).Attempts
+	if limit <= 0 || slices.Contains(j.Failures[n], id) {
 		return
 	}
 	if j.Failures == nil {
 		j.Failures = make(map[int][]structs.Run)
 	}
 	j.Failures[n] = append(j.Failures[n], id)
-	l.markDirty(j)
-	limit := l.state.config.policyOf(&j.Job).Attempts
-	if limit > 0 && len(j.Failures[n]) >= limit {
+	l.markTaskDirty(j, n)
+	if len(j.Failures[n]) >= limit {
 		l.finishJob(j, structs.JobFailed, "a task failed in all its attempts")
 	}
 }
@@ -418,11 +423,15 @@
 	if !ok || value == "" || j.IsDone(n) || j.State.Final() || j.Checkpoints[n] == value {
 		return
 	}
+	if textBytes(value) > maxCheckpointBytes {
+		l.logOnce(TableProgress, string(j.ID), Decision{Part: "task", Action: "checkpoint not kept", Subject: taskName(ref), Reason: "it is too long", Number: uint64(len(value))})
+		return
+	}
 	if j.Checkpoints == nil {
 		j.Checkpoints = make(map[int]string)
 	}
 	j.Checkpoints[n] = value
-	l.markDirty(j)
+	l.markTaskDirty(j, n)
 }
 
 // markStarted records that the first run of a job has been confirmed.
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -44,7 +44,8 @@
 	// started wait until it is empty.
 	unreconciled map[structs.WorkerID]bool
 
-	loadedProgress map[structs.JobID]structs.Progress // progress read from the store, until jobs are admitted
+	loadedProgress map[structs.JobID]structs.Progress            // progress read from the store, until jobs are admitted
+	loadedGroups   map[structs.JobID]map[string]ProgressGroupRow // further rows of it, by key
 
 	commits            commitState
 	interference       *interferenceModel
@@ -91,8 +92,9 @@
 		loadingTables: make(map[Table]bool), jobs: make(map[structs.JobID]*job), entries: make(map[structs.WorkerID]structs.WorkerEntry),
 		otherEntries: make(map[structs.WorkerID]structs.WorkerEntry), absentSince: make(map[string]Instant),
 		workers: make(map[structs.WorkerID]*worker), cancelled: make(map[structs.JobID]bool),
-		loadedProgress: make(map[structs.JobID]structs.Progress), unreconciled: make(map[structs.WorkerID]bool),
-		logged: make(map[tableKey]bool), interference: newInterference(of.pressures),
+		loadedProgress: make(map[structs.JobID]structs.Progress), loadedGroups: make(map[structs.JobID]map[string]ProgressGroupRow),
+		unreconciled: make(map[structs.WorkerID]bool),
+		logged:       make(map[tableKey]bool), interference: newInterference(of.pressures),
 	}
 	l.commits.init(of.leaderVersion)
 	l.starts.init()
@@ -134,12 +136,7 @@
 			return
 		}
 		for _, row := range r.Rows {
-			p, ok := row.Value.(ProgressRow)
-			if !ok {
-				l.logUnreadable(TableProgress, row, "job", "progress cannot be read")
-				continue
-			}
-			l.loadedProgress[structs.JobID(row.Key)] = p.Progress
+			l.applyProgressRow(row)
 		}
 		if r.More && len(r.Rows) > 0 {
 			l.readProgress(r.Rows[len(r.Rows)-1].Key + "\x00")
@@ -149,6 +146,21 @@
 	})
 }
 
+func (l *leaderState) applyProgressRow(row Row) {
+	switch v := row.Value.(type) {
+	case ProgressRow:
+		l.loadedProgress[structs.JobID(row.Key)] = v.Progress
+	case ProgressGroupRow:
+		id, _ := jobOfProgressGroup(row.Key)
+		if l.loadedGroups[id] == nil {
+			l.loadedGroups[id] = make(map[string]ProgressGroupRow)
+		}
+		l.loadedGroups[id][row.Key] = v
+	default:
+		l.logUnreadable(TableProgress, row, "job", "progress cannot be read")
+	}
+}
+
 // tableLoaded is called when a table has been read. Once all have been read, it
 // admits the jobs and synchronizes the workers.
 func (l *leaderState) tableLoaded(t Table) {
@@ -164,7 +176,8 @@
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		l.admit(l.jobs[id])
 	}
-	l.loadedProgress = nil
+	l.removeOrphanedGroups()
+	l.loadedProgress, l.loadedGroups = nil, nil
 	l.applyAssignedEntries()
 	l.assignRacks()
 	for _, id := range l.workerIDs {
@@ -173,6 +186,16 @@
 	l.schedule.requestPass()
 }
 
+// removeOrphanedGroups removes further rows of progress whose job and first row a former
+// leader has removed.
+func (l *leaderState) removeOrphanedGroups() {
+	for _, id := range slices.Sorted(maps.Keys(l.loadedGroups)) {
+		if _, known := l.loadedProgress[id]; !known {
+			l.commits.removedProgress = append(l.commits.removedProgress, slices.Sorted(maps.Keys(l.loadedGroups[id]))...)
+		}
+	}
+}
+
 // isLoaded reports whether all tables have been read.
 func (l *leaderState) isLoaded() bool { return l.loadedAt > 0 }
 
--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -142,5 +142,5 @@
 	delete(l.jobs, j.ID)
 	delete(l.commits.dirtyJobs, j.ID)
 	l.openJobs = slices.DeleteFunc(l.openJobs, func(o *job) bool { return o == j })
-	l.commits.removedProgress = append(l.commits.removedProgress, j.ID)
+	l.commits.removedProgress = append(l.commits.removedProgress, j.progressKeys()...)
 }
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -90,7 +90,9 @@
 // the job's progress, which lists it, stay within the store's limit.
 func (l *leaderState) partWithin(j *job, part structs.JobPart, tasks int) int {
 	limit := l.state.bounds.rowLimit()
-	left := min(limit-jobBytes(&j.Job), limit-progressBytes(&j.Progress)) - partBytes(&part)
+	first := j.firstRow()
+	// Half of the first row is left for failures and the states of tasks.
+	left := min(limit-jobBytes(&j.Job), limit/2-progressBytes(&first.Progress)) - partBytes(&part)
 	return min(max(left/taskNumberBytes, 0), tasks)
 }
 
--- a/core/scheduler/reject.go
+++ b/core/scheduler/reject.go
@@ -45,9 +45,9 @@
 func (l *leaderState) setAside(item commitItem) {
 	l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: item.write.Key, Where: item.write.Table.String(), Number: uint64(rowBytes(item.write.Value))})
 	switch item.kind {
-	case itemProgress:
+	case itemProgress, itemProgressGroup:
 		if j := l.jobs[item.job]; j != nil {
-			l.setAsideProgress(j)
+			l.setAsideProgress(j, item.group)
 		}
 	case itemPlan:
 		l.newestPlan = nil
@@ -57,13 +57,15 @@
 	}
 }
 
-// setAsideProgress gives up the checkpoints of a job whose progress is rejected, which
-// costs only repeated work. Without any, the job is set aside: none of its tasks is
+// setAsideProgress gives up the checkpoints in a row of a job's progress that is rejected,
+// which costs only repeated work. Without any, the job is set aside: none of its tasks is
 // started any more by this leader.
-func (l *leaderState) setAsideProgress(j *job) {
-	if len(j.Checkpoints) > 0 {
-		j.Checkpoints = nil
-		l.markDirty(j)
+func (l *leaderState) setAsideProgress(j *job, group int) {
+	if checkpoints := inGroup(j.Checkpoints, group); len(checkpoints) > 0 {
+		for task := range checkpoints {
+			delete(j.Checkpoints, task)
+			l.markTaskDirty(j, task)
+		}
 		return
 	}
 	j.setAside = true
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -106,6 +106,12 @@
 // ProgressRow is the progress of a job.
 type ProgressRow struct{ structs.Progress }
 
+// ProgressGroupRow is a further row of the progress of a job with many tasks.
+type ProgressGroupRow struct {
+	Failures    map[int][]structs.Run `json:"failures,omitempty"`    // as in structs.Progress
+	Checkpoints map[int]string        `json:"checkpoints,omitempty"` // as in structs.Progress
+}
+
 // CancelRow is the cancellation of a job.
 type CancelRow struct {
 	Host string `json:"host"` // host that accepted the request
@@ -209,6 +215,7 @@
 
 func (JobRow) isRowValue()           {}
 func (ProgressRow) isRowValue()      {}
+func (ProgressGroupRow) isRowValue() {}
 func (CancelRow) isRowValue()        {}
 func (LeaderRow) isRowValue()        {}
 func (LeaseRow) isRowValue()         {}
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -68,6 +68,8 @@
 		return jobBytes(&v.Job)
 	case ProgressRow:
 		return progressBytes(&v.Progress)
+	case ProgressGroupRow:
+		return progressBytes(&structs.Progress{Failures: v.Failures, Checkpoints: v.Checkpoints})
 	case UsedWorkersRow:
 		return v.bytes()
 	case PressuresRow:
