scheduler: a restart ends only the runs that the known incarnation has confirmed

Log of the leader: `start ordered` on w01, 10 ms later `started again` (from the entry), `run lost: the worker started again`, `start ordered` on w00, and 0.74 s later, with the answer to the sync in flight, `stop ordered`.

Cause: answers to starts do not name the worker's incarnation. An idle worker is synchronized every 3 s; it restarted unnoticed, its next incarnation confirmed the start, and the restart was then taken to end all confirmed runs. Both stand-ins named the incarnation in every answer, unlike the protocol, which hid the fault; they no longer do.

Change: a restart ends the runs confirmed before the last answered sync was sent; the lists of the new incarnation decide on the others. Ends are acknowledged only while no run may belong to the next incarnation, whose ends the acknowledgement would discard unread (the same cause). A delayed answer to a command of an earlier incarnation is no restart.

TestStartConfirmedByNextIncarnation and TestAckDoesNotDiscardEndOfConfirmedRun fail without their half.

--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -36,6 +36,10 @@
 	generation      int      // counts boots and crashes
 	starts          int
 
+	// commandsNameIncarnation makes answers to commands name the incarnation, as answers
+	// to syncs always do.
+	commandsNameIncarnation bool
+
 	// onStart decides the outcome of a start command; nil: startAnswered.
 	onStart func(StartTask) startOutcome
 	gauge   func(*fakeRun) int64 // the gauge of a run
@@ -122,6 +126,14 @@
 	f.runs = make(map[runKey]*fakeRun)
 }
 
+// commandIncarnation returns the incarnation in answers to commands; 0: not named.
+func (f *fakeWorker) commandIncarnation() int64 {
+	if f.commandsNameIncarnation {
+		return f.incarnation
+	}
+	return 0
+}
+
 func (f *fakeWorker) clock() int64 {
 	return int64(float64((f.sim.now - f.startedAt).Milliseconds()) * 0.99)
 }
@@ -197,14 +209,14 @@
 
 func (f *fakeWorker) executeStart(e StartTask) CommandDone {
 	refuse := func(r Refusal) CommandDone {
-		return CommandDone{Outcome: structs.OutcomeNotDone, Refused: r, ClockMS: f.clock(), Incarnation: f.incarnation}
+		return CommandDone{Outcome: structs.OutcomeNotDone, Refused: r, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 	}
 	key := runKey{e.Task, e.Run}
 	switch {
 	case e.Epoch < f.epoch:
 		return refuse(RefusedEpoch)
 	case f.runs[key] != nil:
-		return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation}
+		return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 	}
 	f.epoch = e.Epoch
 	f.grantLease(e.LeaseEndMS)
@@ -233,7 +245,7 @@
 	}
 	f.runs[key] = r
 	f.scheduleEnd(r)
-	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation}
+	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 }
 
 // scheduleEnd ends a run when it has done its work at its current speed.
@@ -260,7 +272,7 @@
 		r.speedChanges++
 		f.scheduleEnd(r)
 	}
-	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation}
+	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 }
 
 func (f *fakeWorker) endRun(r *fakeRun, how structs.RunEnd, checkpoint string) {
@@ -277,7 +289,7 @@
 
 func (f *fakeWorker) stopTask(e StopTask) CommandDone {
 	if e.Epoch < f.epoch {
-		return CommandDone{Outcome: structs.OutcomeNotDone, Refused: RefusedEpoch, ClockMS: f.clock(), Incarnation: f.incarnation}
+		return CommandDone{Outcome: structs.OutcomeNotDone, Refused: RefusedEpoch, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 	}
 	f.epoch = e.Epoch
 	f.highestRun[e.Task] = max(f.highestRun[e.Task], e.Run)
@@ -291,7 +303,7 @@
 			}
 		})
 	}
-	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.incarnation}
+	return CommandDone{Outcome: structs.OutcomeDone, ClockMS: f.clock(), Incarnation: f.commandIncarnation()}
 }
 
 func (f *fakeWorker) syncLists(h fakeConnection, e SyncWorker) {
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -63,6 +63,9 @@
 // observeAnswer updates the worker's clock and incarnation from the answer to a
 // command. The run of the command, r, belongs to the incarnation that answered.
 func (w *worker) observeAnswer(o CommandDone, r *run) {
+	if o.Incarnation != 0 && o.Incarnation < w.incarnation {
+		return // a delayed answer of an earlier incarnation
+	}
 	if o.Incarnation != 0 && w.incarnation != 0 && o.Incarnation != w.incarnation {
 		w.removeRun(r)
 		w.handleRestart(o.Incarnation)
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -17,7 +17,7 @@
 		listed[key] = true
 		r := w.runs[key]
 		if r == nil {
-			if r = w.adoptRun(a); r == nil {
+			if r = w.adoptRun(a, sent); r == nil {
 				continue
 			}
 		}
@@ -59,8 +59,8 @@
 }
 
 // adoptRun adopts a run that a former leader started, or stops it when it should
-// not run.
-func (w *worker) adoptRun(a structs.ActiveRun) *run {
+// not run. The answer to a sync that was sent at sent lists it.
+func (w *worker) adoptRun(a structs.ActiveRun, sent Instant) *run {
 	l := w.leader
 	j := l.jobs[a.Task.Job]
 	if j == nil || j.taskAt(a.Task) == nil {
@@ -74,7 +74,7 @@
 	t := &j.tasks[n]
 	r := &run{
 		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, phase: phaseRunning, startSentAt: l.state.now,
-		confirmedAt: l.state.now, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint,
+		confirmedAt: sent, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint,
 	}
 	w.addRun(r)
 	t.lastRun = max(t.lastRun, a.Run)
@@ -88,14 +88,14 @@
 	return r
 }
 
-// handleRestart handles a new incarnation of the worker. All confirmed runs ended
-// with the old one. Unconfirmed starts may have reached the new one, and are kept
-// until their outcome is known.
+// handleRestart handles a new incarnation of the worker. The runs that the old one is
+// known to have confirmed ended with it. The new one may have carried out the other
+// starts, so that these runs are kept until its lists are read.
 func (w *worker) handleRestart(incarnation int64) {
 	l := w.leader
 	l.state.logDecision(Decision{Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation)})
 	for _, r := range w.sortedRuns() {
-		if r.confirmedAt > 0 {
+		if w.confirmedByKnownIncarnation(r) {
 			l.runLost(r, "the worker started again")
 		}
 	}
@@ -110,6 +110,13 @@
 	w.syncSoon()
 }
 
+// confirmedByKnownIncarnation reports whether the incarnation that answered the last sync,
+// or an earlier one, has confirmed a run. Answers to starts do not name the incarnation: one
+// that arrived after that sync was sent may be of the next incarnation.
+func (w *worker) confirmedByKnownIncarnation(r *run) bool {
+	return r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt
+}
+
 // handleGone handles a worker whose incarnation has ended.
 func (w *worker) handleGone(reason string) {
 	w.leader.state.logDecision(Decision{Part: "worker", Action: "gone", Subject: string(w.id), Reason: reason, Age: w.leader.state.now - w.answeredSyncSentAt})
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -324,6 +324,52 @@
 	}
 }
 
+// TestStartConfirmedByNextIncarnation guards against a second run of a task that the next
+// incarnation of an idle worker has confirmed: the leader learns of the restart from the
+// list of workers only afterwards, since answers to starts do not name the incarnation.
+func TestStartConfirmedByNextIncarnation(t *testing.T) {
+	for _, named := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.waitForLeader()
+		sim.advance(testBounds.MaxLease)
+		l := sim.leader().state.leaderOf(0)
+		l.workers["w01"].pauseStarts(200 * time.Millisecond)
+		f := sim.workers["w00"]
+		f.commandsNameIncarnation = named
+		f.unlisted = true
+		f.crash()
+		f.boot()
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(3, 2*time.Second, 1000))
+		sim.waitFor(time.Second, "starts", func() bool { return f.starts == 3 })
+		sim.advance(20 * time.Millisecond)
+		f.writeEntry(false)
+		sim.waitFor(8*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+		if n := f.starts + sim.workers["w01"].starts; n != 3 {
+			t.Errorf("%d starts of 3 tasks", n)
+		}
+	}
+}
+
+// TestAckDoesNotDiscardEndOfConfirmedRun guards against an acknowledgement of ends of one
+// incarnation that makes the next one discard the end of a run that it has confirmed, so
+// that the task runs again although it is done.
+func TestAckDoesNotDiscardEndOfConfirmedRun(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	sim.advance(200 * time.Millisecond)
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 2*time.Millisecond, 1000))
+	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
+
 // TestStartReachesNextIncarnation guards against a second run of a task whose start
 // was in flight while a sync detected a restart of the worker: the new incarnation
 // carries it out.
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -57,10 +57,10 @@
 		return
 	}
 	e := SyncWorker{WorkerCommand: l.newCommand(w)}
-	// An unconfirmed start may have reached the next incarnation of the worker, which
-	// numbers its ends from 1: an acknowledgement would discard them unread. Without one,
-	// on the other hand, a worker lists no further ends.
-	if !w.hasUnconfirmedRun() || w.moreEnded {
+	// A start since the last answered sync may have reached the next incarnation of the
+	// worker, which numbers its ends from 1: an acknowledgement would discard them unread.
+	// Without one, on the other hand, a worker lists no further ends.
+	if !w.hasRunOfUnknownIncarnation() || w.moreEnded {
 		e.AckedThrough = w.durableEnd
 	}
 	// The lease of a worker that does not answer is not renewed: otherwise each sync
@@ -94,10 +94,11 @@
 	return syncWait
 }
 
-// hasUnconfirmedRun reports whether the start of a run on the worker is unconfirmed.
-func (w *worker) hasUnconfirmedRun() bool {
+// hasRunOfUnknownIncarnation reports whether the next incarnation of the worker may have
+// carried out the start of a run.
+func (w *worker) hasRunOfUnknownIncarnation() bool {
 	for _, r := range w.runs {
-		if r.confirmedAt == 0 {
+		if !w.confirmedByKnownIncarnation(r) {
 			return true
 		}
 	}
@@ -125,11 +126,11 @@
 		w.syncIn(syncRetryInterval) // a delayed answer of an earlier incarnation
 		return
 	}
-	w.failedSyncs = 0
-	w.answeredSyncSentAt, w.syncedAt = sent, l.state.now
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
 		w.handleRestart(h.Incarnation)
 	}
+	w.failedSyncs = 0
+	w.answeredSyncSentAt, w.syncedAt = sent, l.state.now
 	if h.Incarnation != 0 {
 		w.incarnation = h.Incarnation
 	}
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -387,7 +387,7 @@
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	body := map[string]any{"ClockMs": w.clockMS(), "born": w.bootedMS}
+	body := map[string]any{"ClockMs": w.clockMS()}
 	if reason != "" {
 		body["Reason"] = reason
 	}
@@ -403,7 +403,8 @@
 		for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 			finished = append(finished, []any{e.number, e.task, e.run, e.outcome, e.checkpoint})
 		}
-		body["Running"], body["Finished"] = running, finished
+		// Only the lists name the incarnation, answers to commands do not.
+		body["Running"], body["Finished"], body["born"] = running, finished, w.bootedMS
 	}
 	w.mu.Unlock()
 	writeJSON(rw, status, body)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -52,6 +52,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	report(t, seed, result)
+}
+
+// report fails the test if a run broke a guarantee or left anything unsettled.
+func report(t *testing.T, seed uint64, result Result) {
+	t.Helper()
 	t.Logf("seed %d: %v", seed, result.Counts)
 	if !result.Failed() {
 		return
@@ -77,6 +83,18 @@
 	}
 }
 
+// TestIdleWorkersRestart guards against tasks that run twice because they were started on
+// a worker whose restart the leader had not noticed: the new incarnation carries the start
+// out, and its entry in the list of workers is read afterwards.
+func TestIdleWorkersRestart(t *testing.T) {
+	const rounds, seed = 3, 1
+	result, err := RunIdleRestarts(rounds, seed, defaultSize(seed+1), buildProgram(t), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	report(t, seed, result)
+}
+
 // TestSoakSeeds guards against the same failures with other seeds: those that
 // SOAK_SEEDS names (a list of numbers and ranges A-B), and random ones for
 // SOAK_SECONDS. It prints the seed of a failure.
