scheduler: a new leader knows when the runs of a lost worker have ended

The list of used workers has addresses only.

Change: the list also tells when the runs of a worker that does not answer have certainly ended, on the store's clock; the next leader uses it. No lease is renewed and nothing started on such a worker until the list is stored without the time.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -221,7 +221,7 @@
 // usedWorkers returns the workers on which runs may be started or may still exist. Those
 // that the row has no room for are not used.
 func (l *leaderState) usedWorkers() UsedWorkersRow {
-	u := UsedWorkersRow{Workers: make(map[structs.WorkerID]string)}
+	u := UsedWorkersRow{Workers: make(map[structs.WorkerID]string), RunsEndMS: make(map[structs.WorkerID]int64), Epoch: l.epoch}
 	size := u.bytes()
 	add := func(w *worker) {
 		size += usedWorkerBytes(w.id, w.entry.Address)
@@ -230,6 +230,10 @@
 			return
 		}
 		u.Workers[w.id] = w.entry.Address
+		if w.failedSyncs > 0 {
+			u.RunsEndMS[w.id] = l.storeTimeOf(w.allRunsEndedAt(l.state.bounds))
+			w.endPublished = true // the store may perform the commit without an answer
+		}
 	}
 	for _, used := range []bool{true, false} { // those that may have runs come first
 		for _, id := range l.workerIDs {
@@ -274,7 +278,7 @@
 		done := r.Outcome == structs.OutcomeDone
 		if done {
 			c.leaseVersion = r.Version
-			l.storeClockMS, l.storeClockAt = r.StoreMS, l.state.now
+			l.storeClockMS, l.storeClockAt, l.storeClockSentAt = r.StoreMS, l.state.now, sentAt
 		} else if own, version := ownLease(r.Conflicts, l); own != nil {
 			// The store performed an earlier commit of this leader whose answer was lost.
 			done = own.Sequence == lease.Sequence
@@ -377,11 +381,19 @@
 // usedWorkersStored allows starts on the workers that the store now lists as used.
 func (l *leaderState) usedWorkersStored(u UsedWorkersRow) {
 	for _, id := range l.workerIDs {
-		_, l.workers[id].used = u.Workers[id]
+		w := l.workers[id]
+		_, w.used = u.Workers[id]
+		_, w.endPublished = u.RunsEndMS[id]
 	}
 	l.schedule.requestPass()
 }
 
+// storeTimeOf returns an upper bound of the time on the store's clock at an instant. The
+// clock in the last answer was read after the call was sent.
+func (l *leaderState) storeTimeOf(at Instant) int64 {
+	return l.storeClockMS + (at - l.storeClockSentAt + leaderLeaseMargin).Milliseconds()
+}
+
 // storeNow returns a lower bound of the current time on the store's clock.
 func (l *leaderState) storeNow() int64 {
 	return l.storeClockMS + (l.state.now - l.storeClockAt).Milliseconds()
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -22,6 +22,8 @@
 
 	storeClockMS int64 // the store's clock at storeClockAt
 	storeClockAt Instant
+	// storeClockSentAt is when the call was sent whose answer had this clock.
+	storeClockSentAt Instant
 
 	loadingTables map[Table]bool // tables whose first read is not complete
 	loadedAt      Instant        // when all tables had been read; 0: not yet
@@ -88,7 +90,7 @@
 func becomeLeader(s *State, of *leadership, attempt takeover, storeMS int64) {
 	l := &leaderState{
 		state: s, shard: of.shard, epoch: attempt.epoch, leaderVersion: of.leaderVersion, tookOverAt: s.now,
-		leaseValidUntil: attempt.sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now,
+		leaseValidUntil: attempt.sentAt + leaderLease, storeClockMS: storeMS, storeClockAt: s.now, storeClockSentAt: attempt.sentAt,
 		loadingTables: make(map[Table]bool), jobs: make(map[structs.JobID]*job), entries: make(map[structs.WorkerID]structs.WorkerEntry),
 		otherEntries: make(map[structs.WorkerID]structs.WorkerEntry), absentSince: make(map[string]Instant),
 		workers: make(map[structs.WorkerID]*worker), cancelled: make(map[structs.JobID]bool),
@@ -105,6 +107,10 @@
 		w := l.addWorker(id)
 		w.entry.Address, w.used = address, true
 		l.unreconciled[id] = true
+		if end, known := of.usedWorkers.RunsEndMS[id]; known && of.usedWorkers.Epoch == attempt.epoch-1 {
+			w.endPublished = true
+			w.inheritedEnd = max(s.now+time.Duration(end-storeMS)*time.Millisecond, 1)
+		}
 	}
 	l.loadingTables[TableProgress] = true
 	l.readProgress("")
@@ -181,7 +187,12 @@
 	l.applyAssignedEntries()
 	l.assignRacks()
 	for _, id := range l.workerIDs {
-		l.workers[id].syncSoon()
+		w := l.workers[id]
+		w.syncSoon()
+		if w.inheritedEnd > 0 {
+			l.commits.usedWorkersChanged = true // a later leader trusts the times of this one only
+			w.awaitRunsEnd()
+		}
 	}
 	l.schedule.requestPass()
 }
--- a/core/scheduler/leadership_test.go
+++ b/core/scheduler/leadership_test.go
@@ -150,3 +150,91 @@
 		t.Errorf("a commit was late: %v, want true; job state %s, want completed", lost, sim.jobState(jobA))
 	}
 }
+
+// TestChangesOfLeaderDoNotProlongWait guards against tasks of a lost worker that stay down
+// for as long as leaders follow each other: each of them waited anew until the worker's
+// lease had certainly run out.
+func TestChangesOfLeaderDoNotProlongWait(t *testing.T) {
+	sim := newSimulation(t, 4, 4)
+	sim.waitForLeader()
+	job := singleStepJob(8, 200*time.Millisecond, 1000)
+	job.Steps[0].Persistent = true
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	running := func() (n int) {
+		for _, f := range sim.workers {
+			n += len(f.runs)
+		}
+		return n
+	}
+	sim.waitFor(5*time.Second, "starts", func() bool { return running() == 8 })
+	sim.advance(3 * time.Second)
+	lost := sim.workerRunning(structs.TaskRef{Job: jobA})
+	lost.crash()
+	sim.store.set(TableWorkers, string(lost.id), nil)
+	const changes, between = 5, 2500 * time.Millisecond
+	began := sim.now
+	for range changes {
+		sim.advance(between)
+		h := sim.leader()
+		h.deliver(StopRequested{})
+		sim.after(time.Second, h.start)
+		if running() == 8 {
+			break
+		}
+	}
+	if got, limit := sim.now-began, maxLeaseDuration(testBounds)+between+time.Second; running() != 8 || got > limit {
+		t.Errorf("%d of 8 tasks run %v after the loss, want all within %v", running(), got, limit)
+	}
+}
+
+// lostAndPublished returns a worker with runs of a persistent job that nobody reaches any
+// more, once the store tells when its runs end.
+func (sim *simulation) lostAndPublished() *fakeWorker {
+	sim.t.Helper()
+	sim.waitForLeader()
+	job := singleStepJob(4, 200*time.Millisecond, 1000)
+	job.Steps[0].Persistent = true
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	sim.advance(3 * time.Second)
+	f := sim.workerRunning(structs.TaskRef{Job: jobA})
+	f.disconnected = true
+	sim.waitFor(6*time.Second, "a published end", func() bool { return sim.publishedEnd(f) > 0 })
+	return f
+}
+
+// publishedEnd returns when the runs of a worker end, as the store tells; 0: it does not.
+func (sim *simulation) publishedEnd(f *fakeWorker) int64 {
+	u, _ := sim.store.get(TableControl, KeyUsedWorkers).(UsedWorkersRow)
+	return u.RunsEndMS[f.id]
+}
+
+// TestLeaseAfterPublishedEnd guards against a worker whose lease is never renewed again
+// after it did not answer for a while.
+func TestLeaseAfterPublishedEnd(t *testing.T) {
+	sim := newSimulation(t, 3, 2)
+	f := sim.lostAndPublished()
+	f.disconnected = false
+	sim.waitFor(3*time.Second, "the removal of the published end", func() bool { return sim.publishedEnd(f) == 0 })
+	sim.advance(2 * workerLease)
+	if len(f.runs) == 0 {
+		t.Error("the worker's lease has run out")
+	}
+}
+
+// TestNoLeaseBeforeEndIsRemoved guards against a second run of a task: the next leader
+// relies on the stored end of a worker's runs, so that the lease of a worker that answers
+// again must not be renewed while the store still has it.
+func TestNoLeaseBeforeEndIsRemoved(t *testing.T) {
+	sim := newSimulation(t, 3, 2)
+	f := sim.lostAndPublished()
+	sim.store.refuseCommits = true
+	f.disconnected = false
+	sim.advance(1500 * time.Millisecond)
+	sim.leader().kill()
+	sim.store.refuseCommits = false
+	f.disconnected = true // its runs go on until the lease runs out
+	sim.advance(leaderLease + maxLeaseDuration(testBounds) + 3*time.Second)
+	if sim.leader() == nil { // the oracle fails the test if a task runs twice
+		t.Error("no leader")
+	}
+}
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -46,13 +46,38 @@
 // allRunsEndedAt returns when all runs on the worker have certainly ended, unless
 // its lease is renewed before.
 func (w *worker) allRunsEndedAt(b Bounds) Instant {
-	if w.sentLeaseEnd == 0 {
-		return max(w.leader.tookOverAt+maxLeaseDuration(b), w.leasesEndBy) // this leader has granted no other lease
+	if w.sentLeaseEnd == 0 { // this leader has granted no other lease
+		end := w.leader.tookOverAt + maxLeaseDuration(b)
+		if w.inheritedEnd > 0 {
+			end = min(end, w.inheritedEnd)
+		}
+		return max(end, w.leasesEndBy)
 	}
 	left := max(w.sentLeaseEnd-w.clockMS, 0)
 	return max(w.clockAt+time.Duration(float64(left)/minClockRate)*time.Millisecond+b.StopTimeout+leaseEndSlack, w.leasesEndBy)
 }
 
+// awaitRunsEnd handles the end of all runs on a worker that does not answer at the time
+// at which it is certain.
+func (w *worker) awaitRunsEnd() {
+	l := w.leader
+	at := w.allRunsEndedAt(l.state.bounds)
+	l.after(max(at-l.state.now, 0), func() {
+		unanswered := w.failedSyncs > 0 || w.answeredSyncSentAt == 0
+		if l.workers[w.id] == w && unanswered && l.state.now >= w.allRunsEndedAt(l.state.bounds) {
+			w.handleRunsEnd()
+		}
+	})
+}
+
+// handleRunsEnd handles a worker on which certainly nothing runs any more.
+func (w *worker) handleRunsEnd() {
+	w.handleLeaseEnd()
+	if !w.listed {
+		w.leader.removeWorker(w)
+	}
+}
+
 // observeClock records the worker's clock from an answer.
 func (w *worker) observeClock(ms int64) {
 	if ms > 0 {
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -149,6 +149,11 @@
 // before it starts a task that a former leader may have started.
 type UsedWorkersRow struct {
 	Workers map[structs.WorkerID]string `json:"workers"`
+	// RunsEndMS holds, for workers that do not answer, when all their runs have certainly
+	// ended, on the store's clock, unless a leader renews their leases. No leader does
+	// before it has removed the time here.
+	RunsEndMS map[structs.WorkerID]int64 `json:"runs_end_ms,omitempty"`
+	Epoch     structs.Epoch              `json:"epoch,omitempty"` // of the leader that wrote the row
 }
 
 // PressuresRow holds the interference estimates of leaders, so that a new leader
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -39,7 +39,7 @@
 	pressureFrame     = 64 + 2*numberBytes
 	textFrame         = 4 // quotes, colon and comma
 	rackEntryFrame    = textFrame + shardNumberBytes
-	workerEntryFrame  = 2 * textFrame
+	workerEntryFrame  = 3 * textFrame
 	queueLengthsFrame = textFrame + numberBytes
 )
 
@@ -161,8 +161,9 @@
 	return n
 }
 
+// usedWorkerBytes includes the end of the runs of a worker that does not answer.
 func usedWorkerBytes(id structs.WorkerID, address string) int {
-	return workerEntryFrame + textBytes(string(id)) + textBytes(address)
+	return workerEntryFrame + 2*textBytes(string(id)) + textBytes(address) + numberBytes
 }
 
 func (p PressuresRow) bytes() int {
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -65,7 +65,7 @@
 	}
 	// The lease of a worker that does not answer is not renewed: otherwise each sync
 	// would postpone the time after which its runs are certainly over.
-	if (w.listsRead || w.moreEnded) && w.failedSyncs == 0 {
+	if (w.listsRead || w.moreEnded) && w.failedSyncs == 0 && !w.endPublished {
 		e.LeaseEndMS = w.newLeaseEnd(l.state.now, l.state.bounds)
 		w.recordLeaseEnd(e.LeaseEndMS)
 		e.Wait = w.syncWaitTime()
@@ -129,6 +129,7 @@
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
 		w.handleRestart(h.Incarnation)
 	}
+	l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || w.endPublished
 	w.failedSyncs = 0
 	w.answeredSyncSentAt, w.syncedAt = sent, l.state.now
 	if h.Incarnation != 0 {
@@ -182,12 +183,12 @@
 	}
 	w.failedSyncs++
 	if w.failedSyncs == 1 {
+		l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || w.used
+		w.awaitRunsEnd()
 		l.state.logDecision(Decision{Part: "worker", Action: "does not answer", Subject: string(w.id), Where: w.entry.Address, Reason: outcomeName(h.Outcome), Age: l.state.now - w.answeredSyncSentAt})
 	}
 	if l.state.now >= w.allRunsEndedAt(l.state.bounds) {
-		w.handleLeaseEnd()
-		if !w.listed {
-			l.removeWorker(w)
+		if w.handleRunsEnd(); l.workers[w.id] != w {
 			return
 		}
 	}
