scheduler: a cancellation of an unknown job is stored

Cause: a host that found no job answered 410 and stored nothing.

Change: the cancellation is stored before the 410; the leader of shard 0 removes those of jobs that never come after 15 minutes.

Both tests fail without their part.

--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -16,6 +16,10 @@
 	// how many jobs are removed at once.
 	expireInterval = 10 * time.Second
 	maxExpireBatch = 20
+	// orphanedCancelRetention is how long the cancellation of a job that this leader does
+	// not know is kept. Submissions that are stored late come within seconds, and a job of
+	// another shard has expired by then.
+	orphanedCancelRetention = 15 * time.Minute
 )
 
 // expireLoop removes jobs whose final state has been kept long enough. The job row
@@ -25,6 +29,7 @@
 	if !l.isLoaded() || !l.leaseValid() {
 		return
 	}
+	l.expireOrphanedCancels()
 	n := 0
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[id]
@@ -38,6 +43,28 @@
 	}
 }
 
+// expireOrphanedCancels removes the cancellations of jobs that were never stored. One
+// leader does so for all shards.
+func (l *leaderState) expireOrphanedCancels() {
+	if l.shard != plannerShard {
+		return
+	}
+	now, removed := l.state.now, 0
+	for _, id := range slices.Sorted(maps.Keys(l.cancelled)) {
+		since, known := l.orphanedCancels[id]
+		switch {
+		case l.jobs[id] != nil:
+			delete(l.orphanedCancels, id)
+		case !known:
+			l.orphanedCancels[id] = now
+		case now-since >= orphanedCancelRetention && removed < maxExpireBatch:
+			removed++
+			delete(l.orphanedCancels, id)
+			l.removeCancel(id)
+		}
+	}
+}
+
 // rowKeys returns the keys of the rows of a job, or of its parts that this shard was
 // given.
 func (j *job) rowKeys() []string {
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -40,6 +40,7 @@
 	workers         map[structs.WorkerID]*worker // of this shard
 	workerIDs       []structs.WorkerID           // of workers, sorted
 	cancelled       map[structs.JobID]bool       // cancellations of jobs of all shards
+	orphanedCancels map[structs.JobID]Instant    // since when cancellations of unknown jobs have been seen
 
 	// unreconciled holds the workers that former leaders used and whose runs are
 	// neither known nor certainly over. Tasks that a former leader may have
@@ -94,7 +95,8 @@
 		loadingTables: make(map[Table]bool), jobs: make(map[structs.JobID]*job), entries: make(map[structs.WorkerID]structs.WorkerEntry),
 		otherEntries: make(map[structs.WorkerID]structs.WorkerEntry), absentSince: make(map[string]Instant),
 		workers: make(map[structs.WorkerID]*worker), cancelled: make(map[structs.JobID]bool),
-		loadedProgress: make(map[structs.JobID]structs.Progress), loadedGroups: make(map[structs.JobID]map[string]ProgressGroupRow),
+		orphanedCancels: make(map[structs.JobID]Instant),
+		loadedProgress:  make(map[structs.JobID]structs.Progress), loadedGroups: make(map[structs.JobID]map[string]ProgressGroupRow),
 		unreconciled: make(map[structs.WorkerID]bool),
 		logged:       make(map[tableKey]bool), interference: newInterference(of.pressures),
 	}
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -269,23 +269,25 @@
 	s.findState(r, func() { s.cancelJob(r) }, func(state structs.JobState) {
 		switch {
 		case state == "":
-			s.answer(r, Answer{Status: AnswerNoSuchJob, Reason: "no such job"})
+			// The store may still perform a submission whose answer was lost.
+			s.writeCancel(r, Answer{Status: AnswerNoSuchJob, Reason: "no such job"})
 		case state.Final():
 			s.answer(r, Answer{Status: AnswerOK})
 		default:
-			s.writeCancel(r)
+			s.writeCancel(r, Answer{Status: AnswerOK})
 		}
 	})
 }
 
-func (s *State) writeCancel(r *request) {
+// writeCancel stores a cancellation and then sends the answer.
+func (s *State) writeCancel(r *request, answer Answer) {
 	s.commit(Commit{Writes: []Write{{Table: TableCancels, Key: string(r.job), Value: CancelRow{Host: s.self.Host}}}}, func(c Committed) {
 		if c.Outcome != structs.OutcomeDone {
-			s.retry(r, func() { s.writeCancel(r) })
+			s.retry(r, func() { s.writeCancel(r, answer) })
 			return
 		}
 		s.logDecision(Decision{Part: "request", Action: "cancel accepted", Subject: string(r.job), Age: s.now - r.arrivedAt})
-		s.answer(r, Answer{Status: AnswerOK})
+		s.answer(r, answer)
 	})
 }
 
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -397,6 +397,43 @@
 	}
 }
 
+// TestCancelBeforeLateSubmission guards against a job that runs although its cancellation
+// was acknowledged: the store performs its submission, which had no answer, afterwards.
+func TestCancelBeforeLateSubmission(t *testing.T) {
+	sim := newSimulation(t, 2, 1)
+	sim.waitForLeader()
+	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
+		if e.Writes[0].Table == TableJobs {
+			return commitLate
+		}
+		return commitAnswered
+	}
+	submitted := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
+	sim.hosts[0].deliver(CallerGone{Request: submitted})
+	sim.advance(500 * time.Millisecond)
+	cancelled := sim.request(sim.hosts[1], RequestCancel, "/q/"+jobA)
+	sim.advance(500 * time.Millisecond)
+	if got := sim.answers[cancelled].Status; got != AnswerNoSuchJob {
+		t.Fatalf("answer to the cancellation: %v", got)
+	}
+	sim.waitFor(8*time.Second, "cancellation of the job", func() bool { return sim.jobState(jobA) == structs.JobCancelled })
+	if n := sim.workers["w00"].starts; n > 0 {
+		t.Errorf("%d starts", n)
+	}
+	sim.store.commitOutcome = func(*fakeHost, Commit) int { return commitAnswered }
+	sim.waitFor(orphanedCancelRetention+10*time.Minute, "removal of the cancellation", func() bool { return sim.store.get(TableCancels, jobA) == nil })
+}
+
+// TestCancellationOfUnknownJobExpires guards against cancellations of jobs that never come
+// and stay in the store.
+func TestCancellationOfUnknownJobExpires(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.request(sim.hosts[0], RequestCancel, "/q/"+jobA)
+	sim.waitFor(time.Second, "the cancellation", func() bool { return sim.store.get(TableCancels, jobA) != nil })
+	sim.waitFor(orphanedCancelRetention+time.Minute, "its removal", func() bool { return sim.store.get(TableCancels, jobA) == nil })
+}
+
 // TestStoreOutage guards against restarts of tasks because of a store outage: runs
 // must continue under the workers' leases, and the same leader must resume after the
 // outage.
