scheduler: a lower start time of a worker is not taken for a delayed answer

Cause: all answers with a lower start time than the known one were dropped as delayed ones.

Change: an answer is delayed only if its sync was sent before the last restart was detected; an entry shows a restart only when its start time has changed.

The test fails without the change.

--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -18,11 +18,12 @@
 	rack            string
 	capacity        structs.Resources
 	alive           bool
-	disconnected    bool // commands do not reach it and answers are lost
-	failing         bool // all its runs fail
-	hanging         bool // its runs make no progress
-	replaced        bool // ended for good
-	unlisted        bool // new incarnations do not write an entry into the list
+	disconnected    bool          // commands do not reach it and answers are lost
+	failing         bool          // all its runs fail
+	hanging         bool          // its runs make no progress
+	replaced        bool          // ended for good
+	clockBehind     time.Duration // how far its time of day is behind when it starts
+	unlisted        bool          // new incarnations do not write an entry into the list
 	incarnation     int64
 	startedAt       time.Duration // start of this incarnation
 	epoch           structs.Epoch
@@ -90,7 +91,7 @@
 
 func (f *fakeWorker) boot() {
 	f.generation++
-	f.alive, f.incarnation, f.startedAt, f.epoch, f.leaseEnd = true, f.sim.wall()+int64(f.generation), f.sim.now, 0, 0
+	f.alive, f.incarnation, f.startedAt, f.epoch, f.leaseEnd = true, f.sim.wall()+int64(f.generation)-f.clockBehind.Milliseconds(), f.sim.now, 0, 0
 	f.runs, f.highestRun, f.endedRuns, f.lastEnd, f.lastEndAtExpiry, f.waitingSyncs = make(map[runKey]*fakeRun), make(map[structs.TaskRef]structs.Run), nil, 0, 0, nil
 	if !f.unlisted {
 		f.writeEntry(false)
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -102,6 +102,7 @@
 	if len(w.runs) > 0 {
 		w.boundLeases()
 	}
+	w.incarnationSeenAt = l.state.now
 	w.incarnation, w.listsRead, w.moreEnded, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, false, 0, 0, nil
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.leader.markReconciled(w.id)
@@ -110,6 +111,13 @@
 	w.syncSoon()
 }
 
+// answeredByEarlier reports whether an incarnation before the known one answered a sync
+// that was sent at sent. A lower start time alone does not show it: the worker's time of day
+// may have jumped back between two starts.
+func (w *worker) answeredByEarlier(incarnation int64, sent Instant) bool {
+	return incarnation != 0 && incarnation < w.incarnation && sent < w.incarnationSeenAt
+}
+
 // confirmedByKnownIncarnation reports whether the incarnation that answered the last sync,
 // or an earlier one, has confirmed a run. Answers to starts do not name the incarnation: one
 // that arrived after that sync was sent may be of the next incarnation.
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -397,6 +397,20 @@
 	}
 }
 
+// TestNextIncarnationWithLowerStartTime guards against a worker whose answers are ignored
+// for good because its time of day has jumped back before it started again.
+func TestNextIncarnationWithLowerStartTime(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(2, time.Second, 1000))
+	f := sim.workers["w00"]
+	sim.waitFor(time.Second, "starts", func() bool { return len(f.runs) == 2 })
+	f.crash()
+	f.clockBehind = time.Minute
+	f.boot()
+	sim.waitFor(10*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+}
+
 // TestCancelBeforeLateSubmission guards against a job that runs although its cancellation
 // was acknowledged: the store performs its submission, which had no answer, afterwards.
 func TestCancelBeforeLateSubmission(t *testing.T) {
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -122,8 +122,8 @@
 		w.handleFailedSync(h)
 		return
 	}
-	if h.Incarnation != 0 && h.Incarnation < w.incarnation {
-		w.syncIn(syncRetryInterval) // a delayed answer of an earlier incarnation
+	if w.answeredByEarlier(h.Incarnation, sent) {
+		w.syncIn(syncRetryInterval)
 		return
 	}
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -22,6 +22,7 @@
 	answeredSyncSentAt Instant // when the last answered sync was sent
 	syncedAt           Instant // when the last sync was answered
 	incarnation        int64   // start time that identifies its incarnation; 0: not known
+	incarnationSeenAt  Instant // when a restart was last detected
 	clockMS            int64   // its clock at clockAt
 	clockAt            Instant
 	sentLeaseEnd       int64   // latest lease end that was sent, in ms on its clock
@@ -144,8 +145,9 @@
 	}
 	// Entries are written with each heartbeat; only a changed one is worth a sync.
 	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining
+	renewed := e.Incarnation != w.entry.Incarnation
 	w.entry, w.listed = e, true
-	if w.incarnation != 0 && e.Incarnation != 0 && e.Incarnation > w.incarnation {
+	if renewed && w.incarnation != 0 && e.Incarnation > w.incarnation {
 		w.handleRestart(e.Incarnation)
 	}
 	if changed && l.isLoaded() {
