scheduler: nothing starts on a worker by the entry of its former incarnation

Cause: the answer to a sync shows the next incarnation before its entry is read, and the labels of the old entry were used until then.

Change: a worker accepts starts only while its entry is of the incarnation that answers. TestStartReachesNextIncarnation had a worker whose entry stays old after a first restart; that one now writes its entry, as workers do, and the restart that the test is about still does not, so that it guards the same.

The test fails without the change.

--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -377,10 +377,10 @@
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
 	f := sim.workers["w00"]
-	f.unlisted = true
 	f.crash()
 	f.boot()
 	sim.advance(testBounds.MaxLease) // an idle worker is synchronized rarely, so the next start precedes the detection of a restart
+	f.unlisted = true
 	f.crash()
 	f.boot()
 	f.onStart = func(StartTask) startOutcome { return startUnanswered }
@@ -411,6 +411,28 @@
 	sim.waitFor(10*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 }
 
+// TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
+// incarnation: the lists show the next one before its entry is read.
+func TestLabelsOfNextIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	l := sim.leader().state.leaderOf(0)
+	sim.waitFor(5*time.Second, "detection of the restart", func() bool { return l.workers["w00"].incarnation == f.incarnation })
+	job := singleStepJob(1, time.Second, 1000)
+	job.Steps[0].Label = "a"
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	sim.advance(time.Second)
+	if f.starts > 0 {
+		t.Fatal("a task was started by the labels of the former incarnation")
+	}
+	f.writeEntry(false)
+	sim.waitFor(3*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+}
+
 // TestCancelBeforeLateSubmission guards against a job that runs although its cancellation
 // was acknowledged: the store performs its submission, which had no answer, afterwards.
 func TestCancelBeforeLateSubmission(t *testing.T) {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -155,6 +155,12 @@
 	}
 }
 
+// entryIsCurrent reports whether the worker's entry is of the incarnation that answers. The
+// next incarnation may have other labels and another capacity.
+func (w *worker) entryIsCurrent() bool {
+	return w.entry.Incarnation == 0 || w.incarnation == 0 || w.entry.Incarnation == w.incarnation
+}
+
 // addWorker returns the worker with the ID, and creates it if it does not exist.
 func (l *leaderState) addWorker(id structs.WorkerID) *worker {
 	if w := l.workers[id]; w != nil {
