scheduler: time limits of watches grow only while the store answers other calls

Cause: doubled the time limit of a watch with each failure, also during an outage of the store. A watch that hung afterwards kept the new configuration from being read for up to 10.8 s.

Change: a failure counts only if the store has answered another call since the watch was sent, and never for the operator's table. The budget of pages grows by half while pages take 0.2 to 0.6 s, so that an outage followed by a slow store does not leave tiny pages.

Both new tests fail without their part.

--- a/core/scheduler/bulkread.go
+++ b/core/scheduler/bulkread.go
@@ -13,13 +13,14 @@
 const (
 	// pageTime is how long the link should take for the pages in flight.
 	pageTime = readTimeout / 3
-	// fastPageTime is the age of a page that leaves room for a larger budget, and
-	// slowPageTime that of one that shows the budget to be too large.
+	// fastPageTime is the age of a page up to which the budget doubles with all pages in
+	// flight. Up to slowPageTime it grows by half, since the store may be what is slow;
+	// beyond it the budget is too large.
 	fastPageTime = readTimeout / 6
-	slowPageTime = readTimeout * 2 / 3
+	slowPageTime = readTimeout / 2
 	// defaultReadBudget applies while the capacity of the link is not known.
 	defaultReadBudget = 1 << 20 // bytes
-	minReadBudget     = 8 << 10
+	minReadBudget     = 16 << 10
 	maxReadBudget     = 16 << 20
 	// defaultRowBytes is the size that is assumed for a row of a table that has not been
 	// read yet.
@@ -119,12 +120,25 @@
 		b.lastShrunkAt = now
 	case done && elapsed < fastPageTime:
 		b.budget = min(b.budget+r.Bytes, maxReadBudget)
+	case done && elapsed < slowPageTime:
+		b.budget = min(b.budget+r.Bytes/2, maxReadBudget)
 	}
 }
 
 // maxWatchTimeoutDoublings bounds how often the slack of a watch's time limit doubles.
 const maxWatchTimeoutDoublings = 4
 
+// countFailure counts a watch that was sent at sentAt and had no answer. While the store
+// answers no other call either, the size of the answer is not the reason. The operator's
+// configuration is small, and has to be seen in time.
+func (w *watch) countFailure(s *State, sentAt Instant) {
+	if s.store.lastSuccess < sentAt || w.table == TableOperator {
+		w.failures = 0
+		return
+	}
+	w.failures++
+}
+
 // timeoutFactor returns the factor of the slack of a watch's time limit. It doubles with
 // each failure in a row, since the changes of a table that wait for this host may be
 // more than its link carries within the first limit.
--- a/core/scheduler/bulkread_test.go
+++ b/core/scheduler/bulkread_test.go
@@ -82,3 +82,41 @@
 
 	sim.waitFor(20*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 }
+
+// TestWatchTimeLimitAfterOutage guards against a configuration, or jobs, that are seen
+// seconds late because an outage of the store has made the time limits of watches longer.
+func TestWatchTimeLimitAfterOutage(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.store.down = true
+	sim.advance(20 * time.Second)
+	for key, w := range sim.hosts[0].state.watches {
+		if got := w.timeoutFactor(); got != 1 {
+			t.Errorf("table %v: the slack is %d times as long after an outage", key.table, got)
+		}
+	}
+}
+
+// TestPagesGrowWhileStoreIsSlow guards against tiny pages while the store is slow after an
+// outage: the time of a page then says nothing about the link.
+func TestPagesGrowWhileStoreIsSlow(t *testing.T) {
+	var b bulkReads
+	b.init(0)
+	now := time.Second
+	for range 10 {
+		b.observe(TableJobs, RowsRead{Outcome: structs.OutcomeUnknown}, now, now+readTimeout)
+		now += readTimeout
+	}
+	if b.budget != minReadBudget {
+		t.Fatalf("budget of %d bytes after an outage", b.budget)
+	}
+	const pageTime, most = 400 * time.Millisecond, 12
+	rounds := 0
+	for ; b.budget < defaultReadBudget && rounds <= most; rounds++ {
+		b.observe(TableJobs, RowsRead{Outcome: structs.OutcomeDone, Bytes: b.budget}, now, now+pageTime)
+		now += pageTime
+	}
+	if rounds > most {
+		t.Errorf("budget of %d bytes after %d pages", b.budget, rounds)
+	}
+}
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -111,7 +111,7 @@
 	snapshot          []Row
 	oldestPage        structs.Version // lowest version of the pages of a read
 	loadingPartitions int             // partitions whose read is not complete
-	failures          int             // watches in a row without an answer
+	failures          int             // watches in a row without an answer while the store answered other calls
 }
 
 // watchKey identifies a watch. Each leader of a host has its own; those of the host
@@ -188,12 +188,13 @@
 	if !w.active {
 		return
 	}
+	sentAt := s.now
 	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: watchWait, Timeout: watchWait + watchTimeoutSlack*w.timeoutFactor()}
-	e.ID = s.expectOutcome(func(body EventBody) { w.changed(s, body.(RowsRead)) })
+	e.ID = s.expectOutcome(func(body EventBody) { w.changed(s, body.(RowsRead), sentAt) })
 	s.emit(e)
 }
 
-func (w *watch) changed(s *State, r RowsRead) {
+func (w *watch) changed(s *State, r RowsRead, sentAt Instant) {
 	if !w.active {
 		return
 	}
@@ -204,7 +205,7 @@
 		w.loadAll(s)
 	case r.Outcome != structs.OutcomeDone:
 		s.store.observe(s, r.Outcome)
-		w.failures++
+		w.countFailure(s, sentAt)
 		s.after(s.jittered(storeRetryDelay), func() { w.wait(s) })
 	default:
 		s.store.observe(s, structs.OutcomeDone)
