standin: the store of the soak enforces the limits of rows and calls

It now answers 400 over 64 KB of a row, 100 entries, 1 MB or one part, pages have 1 MB at most, and a run fails if a transaction was over a limit.

--- a/standin/jobplatform/store.go
+++ b/standin/jobplatform/store.go
@@ -1,7 +1,10 @@
 package jobplatform
 
 import (
+	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -28,6 +31,13 @@
 	commitLatency  = 4 * time.Millisecond
 )
 
+// Limits of the store. A transaction over one of them is answered with 400.
+const (
+	MaxRowBytes    = 64 << 10 // value of a row
+	maxCallBytes   = 1 << 20  // body of a transaction, and rows of a page
+	maxCallEntries = 100
+)
+
 // Row is a row, or the removal of a row, as it is encoded on the wire.
 type Row struct {
 	Table      string `json:"Table"`
@@ -57,6 +67,7 @@
 	rows        map[rowID]Row
 	history     []Row         // changes, oldest first
 	compactedTo uint64        // the history up to this version is incomplete
+	rejected    []string      // why transactions were over a limit
 	changed     chan struct{} // closed and replaced at each change
 }
 
@@ -153,9 +164,17 @@
 }
 
 func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, faults StoreFaults) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller is gone
+	}
 	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if err := json.Unmarshal(body, &t); err != nil {
+		s.reject(w, "not a transaction")
+		return
+	}
+	if reason := t.overLimit(len(body)); reason != "" {
+		s.reject(w, reason)
 		return
 	}
 	switch draw := rand.Float64(); {
@@ -175,6 +194,41 @@
 	s.writeAnswer(w, status, rowsAnswer{Rows: conflicts, RowVersion: version})
 }
 
+// overLimit returns which limit a transaction with a body of the given size is over, or an
+// empty string.
+func (t *transaction) overLimit(bodyBytes int) string {
+	all := slices.Concat(t.ExpectedRevision, t.SetKeys, t.Remove)
+	switch {
+	case bodyBytes > maxCallBytes:
+		return fmt.Sprintf("a transaction has %d bytes", bodyBytes)
+	case len(all) > maxCallEntries:
+		return fmt.Sprintf("a transaction has %d entries", len(all))
+	}
+	for _, row := range all {
+		if row.Part != all[0].Part {
+			return "a transaction has entries of several parts"
+		}
+		if len(row.Value) > MaxRowBytes {
+			return fmt.Sprintf("row %s/%s has %d bytes", row.Table, row.Key, len(row.Value))
+		}
+	}
+	return ""
+}
+
+func (s *Store) reject(w http.ResponseWriter, reason string) {
+	s.mu.Lock()
+	s.rejected = append(s.rejected, reason)
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+// Rejected returns why transactions were rejected so far.
+func (s *Store) Rejected() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.rejected)
+}
+
 // commit applies a transaction if all its conditions hold, and otherwise returns
 // the current rows that the conditions name.
 func (s *Store) commit(t transaction) ([]Row, uint64, bool) {
@@ -220,11 +274,20 @@
 	version := s.version
 	s.mu.Unlock()
 	slices.SortFunc(found, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
-	answer := rowsAnswer{Rows: found, HasMore: len(found) > limit, RowVersion: version}
-	if answer.HasMore {
-		answer.Rows = found[:limit]
+	page := found[:pageLength(found, limit)]
+	s.writeAnswer(w, http.StatusOK, rowsAnswer{Rows: page, HasMore: len(page) < len(found), RowVersion: version})
+}
+
+// pageLength returns how many of the rows fit into a page: at least one.
+func pageLength(rows []Row, limit int) int {
+	bytes := 0
+	for i, row := range rows {
+		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
+		if i == limit || i > 0 && bytes > maxCallBytes {
+			return i
+		}
 	}
-	s.writeAnswer(w, http.StatusOK, answer)
+	return len(rows)
 }
 
 // serveFeed answers with the changes of a table after a version, and waits up to
--- a/standin/soak/restart.go
+++ b/standin/soak/restart.go
@@ -42,6 +42,6 @@
 			break
 		}
 	}
-	result.Violations = cluster.Checker.Violations()
+	result.Violations = cluster.violations()
 	return result, nil
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -55,10 +55,20 @@
 	stop()
 	group.Wait()
 	result.Unsettled = callers.awaitSettled()
-	result.Violations = cluster.Checker.Violations()
+	result.Violations = cluster.violations()
 	return result, nil
 }
 
+// violations returns what callers and workers have seen, and the transactions that were
+// over a limit of the store.
+func (c *Cluster) violations() []string {
+	all := c.Checker.Violations()
+	for _, reason := range c.Store.Rejected() {
+		all = append(all, "OVER LIMIT: "+reason)
+	}
+	return all
+}
+
 // injectFaults injects overlapping faults for faultPeriod, ends all of them and
 // returns their descriptions.
 func injectFaults(cluster *Cluster, rng *rand.Rand) []string {
