--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -54,7 +54,7 @@
 
 // markDirty marks a job's progress as changed.
 func (l *leaderState) markDirty(j *job) {
-	if !j.setAside {
+	if !j.unstorable {
 		l.commits.dirtyJobs[j.ID] = true
 	}
 }
@@ -97,76 +97,12 @@
 	l.sendCommit(commitContent{items: items, partial: len(c.dirtyJobs) > 0})
 }
 
-// itemKind is the kind of a row in a leader's commit.
-type itemKind uint8
-
-const (
-	itemUsedWorkers itemKind = iota + 1
-	itemPlan
-	itemProgress
-	itemProgressGroup // a further row of the progress of a job
-	itemPressures
-	itemRemoval // of a row of the progress of a job that is gone
-)
-
-// commitItem is one row of a leader's commit besides the lease.
-type commitItem struct {
-	kind  itemKind
-	job   structs.JobID // of itemProgress and itemProgressGroup
-	group int           // of itemProgressGroup
-	claim bool          // of itemProgress: it contains a claim that is not stored yet
-	write Write
-}
-
 // commitContent is the content of one commit, kept to repeat it or act on its success.
 type commitContent struct {
 	items   []commitItem
 	partial bool // further changes of jobs remain for the next commit
 }
 
-// itemList collects the rows of one commit up to its limits.
-type itemList struct {
-	items   []commitItem
-	maxRows int
-	bytes   int
-}
-
-// add adds a row, and reports whether there was room for it. The first row always fits.
-func (i *itemList) add(item commitItem) bool {
-	size := rowBytes(item.write.Value)
-	if len(i.items) >= i.maxRows || len(i.items) > 0 && i.bytes+size > maxCommitBytes {
-		return false
-	}
-	i.items, i.bytes = append(i.items, item), i.bytes+size
-	return true
-}
-
-// takeItems removes from the pending changes those that the next commit contains. Newly
-// claimed jobs come first among the jobs, since starts wait for them.
-func (l *leaderState) takeItems() []commitItem {
-	c := &l.commits
-	list := itemList{maxRows: maxCommitRows}
-	if c.rowLimit > 0 {
-		list.maxRows = c.rowLimit
-	}
-	partition := l.shard.partition()
-	if c.usedWorkersChanged && l.isLoaded() && list.add(commitItem{kind: itemUsedWorkers, write: Write{TableControl, partition, KeyUsedWorkers, l.usedWorkers()}}) {
-		c.usedWorkersChanged = false
-	}
-	if c.plan != nil && list.add(commitItem{kind: itemPlan, write: Write{TableShards, partition, KeyPlan, *c.plan}}) {
-		c.plan = nil
-	}
-	l.takeProgress(&list)
-	l.takePressures(&list)
-	for n := 0; n < maxRemovals && len(c.removedProgress) > 0; n++ {
-		if !list.add(commitItem{kind: itemRemoval, write: Write{TableProgress, partition, c.removedProgress[0], nil}}) {
-			break
-		}
-		c.removedProgress = c.removedProgress[1:]
-	}
-	return list.items
-}
-
 // dirtyOrder returns the changed jobs, those with new claims first.
 func (c *commitState) dirtyOrder() []structs.JobID {
 	ids := slices.Sorted(maps.Keys(c.newClaims))
@@ -178,73 +114,6 @@
 	return ids
 }
 
-// takePressures adds the learned pressures from time to time.
-func (l *leaderState) takePressures(list *itemList) {
-	if !l.isLoaded() || l.pressuresRejected || l.state.now-l.pressuresWrittenAt < pressuresInterval {
-		return
-	}
-	l.pressuresWrittenAt = l.state.now
-	row := l.interference.row(l.state.bounds.rowLimit())
-	if len(row.Pairs) > 0 {
-		list.add(commitItem{kind: itemPressures, write: Write{TableControl, l.shard.partition(), KeyPressures, row}})
-	}
-}
-
-// putBack returns rows that were not stored to the pending changes.
-func (l *leaderState) putBack(items []commitItem) {
-	c := &l.commits
-	for _, item := range items {
-		switch item.kind {
-		case itemUsedWorkers:
-			c.usedWorkersChanged = true
-		case itemPlan:
-			if c.plan == nil { // a newer plan contains it
-				plan := item.write.Value.(ShardPlanRow)
-				c.plan = &plan
-			}
-		case itemProgress:
-			c.dirtyJobs[item.job] = true
-			if item.claim {
-				c.newClaims[item.job] = true
-			}
-		case itemProgressGroup:
-			if j := l.jobs[item.job]; j != nil {
-				j.markGroupDirty(item.group)
-				l.markDirty(j)
-			}
-		case itemRemoval:
-			c.removedProgress = append(c.removedProgress, item.write.Key)
-		}
-	}
-}
-
-// usedWorkers returns the workers on which runs may be started or may still exist. Those
-// that the row has no room for are not used.
-func (l *leaderState) usedWorkers() UsedWorkersRow {
-	u := UsedWorkersRow{Workers: make(map[structs.WorkerID]string), RunsEndMS: make(map[structs.WorkerID]int64), Epoch: l.epoch}
-	size := u.bytes()
-	add := func(w *worker) {
-		size += usedWorkerBytes(w.id, w.entry.Address)
-		if size > l.state.bounds.rowLimit() {
-			l.logOnce(TableControl, string(w.id), Decision{Part: "worker", Action: "not used", Subject: string(w.id), Reason: "the list of used workers is full"})
-			return
-		}
-		u.Workers[w.id] = w.entry.Address
-		if w.failedSyncs > 0 {
-			u.RunsEndMS[w.id] = l.storeTimeOf(w.allRunsEndedAt(l.state.bounds))
-			w.endPublished = true // the store may perform the commit without an answer
-		}
-	}
-	for _, used := range []bool{true, false} { // those that may have runs come first
-		for _, id := range l.workerIDs {
-			if w := l.workers[id]; w.used == used && (w.used || w.listsRead) {
-				add(w)
-			}
-		}
-	}
-	return u
-}
-
 // sendCommit sends a commit; after a failure, its changes go into the next one.
 func (l *leaderState) sendCommit(content commitContent) {
 	c := &l.commits
@@ -354,46 +223,6 @@
 	}
 }
 
-// itemStored acts on a row that has been stored.
-func (l *leaderState) itemStored(item commitItem) {
-	switch item.kind {
-	case itemUsedWorkers:
-		l.usedWorkersStored(item.write.Value.(UsedWorkersRow))
-	case itemPlan:
-		l.planStored(item.write.Value.(ShardPlanRow))
-	case itemProgress:
-		j := l.jobs[item.job]
-		if j == nil {
-			return
-		}
-		if item.claim {
-			j.claimStored = true
-			l.schedule.requestPass()
-		}
-		l.progressStored(j)
-	case itemProgressGroup:
-		if j := l.jobs[item.job]; j != nil {
-			j.markGroupStored(item.group)
-		}
-	}
-}
-
-// usedWorkersStored allows starts on the workers that the store now lists as used.
-func (l *leaderState) usedWorkersStored(u UsedWorkersRow) {
-	for _, id := range l.workerIDs {
-		w := l.workers[id]
-		_, w.used = u.Workers[id]
-		_, w.endPublished = u.RunsEndMS[id]
-	}
-	l.schedule.requestPass()
-}
-
-// storeTimeOf returns an upper bound of the time on the store's clock at an instant. The
-// clock in the last answer was read after the call was sent.
-func (l *leaderState) storeTimeOf(at Instant) int64 {
-	return l.storeClockMS + (at - l.storeClockSentAt + leaderLeaseMargin).Milliseconds()
-}
-
 // storeNow returns a lower bound of the current time on the store's clock.
 func (l *leaderState) storeNow() int64 {
 	return l.storeClockMS + (l.state.now - l.storeClockAt).Milliseconds()
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -20,7 +20,7 @@
 	admitted       bool    // its progress has been restored and it can be scheduled
 	admittedAt     Instant
 	rowVersion     structs.Version // of its job row
-	setAside       bool            // the store rejects its progress
+	unstorable     bool            // the store rejects its progress, even without checkpoints
 	dirtyGroups    map[int]bool    // further rows of its progress that have to be written
 	storedGroups   map[int]bool    // further rows of its progress that exist
 	moveInFlight   bool            // the job row is being given to another shard
@@ -154,7 +154,7 @@
 
 // schedulable reports whether tasks of the job may be started.
 func (j *job) schedulable() bool {
-	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving && !j.setAside
+	return j.admitted && !j.cancelled && !j.State.Final() && !j.Moving && !j.unstorable
 }
 
 func cloneProgress(p structs.Progress) structs.Progress {
--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -130,7 +130,7 @@
 			return
 		}
 		if c.Rejected {
-			l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: string(j.ID), Where: TableJobs.String()})
+			l.state.logDecision(Decision{Part: "store", Action: "row rejected, dropped", Subject: string(j.ID), Where: TableJobs.String()})
 			return
 		}
 		l.after(storeRetryDelay, func() { l.continueMove(j) })
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -159,7 +159,7 @@
 			return // written now or by an earlier attempt
 		}
 		if c.Rejected {
-			l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: part.Key, Where: TableJobs.String()})
+			l.state.logDecision(Decision{Part: "store", Action: "row rejected, dropped", Subject: part.Key, Where: TableJobs.String()})
 			return
 		}
 		l.after(storeRetryDelay, func() {
--- a/core/scheduler/progress.go
+++ b/core/scheduler/progress.go
@@ -92,7 +92,7 @@
 
 // markTaskDirty marks the failures or the checkpoint of a task as changed.
 func (l *leaderState) markTaskDirty(j *job, task int) {
-	if group := progressGroup(task); group > 0 && !j.setAside {
+	if group := progressGroup(task); group > 0 && !j.unstorable {
 		j.markGroupDirty(group)
 	}
 	l.markDirty(j)
--- a/core/scheduler/reject.go
+++ b/core/scheduler/reject.go
@@ -9,8 +9,8 @@
 const planRetryDelay = 10 * time.Second
 
 // isolateRejected handles a commit that the store rejects for good. Repeating it would
-// hold up the changes of all jobs and the lease, so the row at fault is found and set
-// aside: either the outcome names it, or later commits contain half of the rows each
+// hold up the changes of all jobs and the lease, so the row at fault is found and
+// dropped: either the outcome names it, or later commits contain half of the rows each
 // time. The next commit renews the lease alone.
 func (l *leaderState) isolateRejected(items []commitItem, rejectedWrites []int) {
 	c := &l.commits
@@ -35,19 +35,19 @@
 			rest = append(rest, item)
 			continue
 		}
-		l.setAside(item)
+		l.dropRow(item)
 	}
 	l.putBack(rest)
 	l.flush()
 }
 
-// setAside gives up a row that the store rejects, at the cost of its job or worker only.
-func (l *leaderState) setAside(item commitItem) {
-	l.state.logDecision(Decision{Part: "store", Action: "row rejected, set aside", Subject: item.write.Key, Where: item.write.Table.String(), Number: uint64(rowBytes(item.write.Value))})
+// dropRow gives up a row that the store rejects, at the cost of its job or worker only.
+func (l *leaderState) dropRow(item commitItem) {
+	l.state.logDecision(Decision{Part: "store", Action: "row rejected, dropped", Subject: item.write.Key, Where: item.write.Table.String(), Number: uint64(rowBytes(item.write.Value))})
 	switch item.kind {
 	case itemProgress, itemProgressGroup:
 		if j := l.jobs[item.job]; j != nil {
-			l.setAsideProgress(j, item.group)
+			l.dropProgress(j, item.group)
 		}
 	case itemPlan:
 		l.newestPlan = nil
@@ -57,10 +57,10 @@
 	}
 }
 
-// setAsideProgress gives up the checkpoints in a row of a job's progress that is rejected,
-// which costs only repeated work. Without any, the job is set aside: none of its tasks is
+// dropProgress gives up the checkpoints in a row of a job's progress that is rejected,
+// which costs only repeated work. Without any, the job is left alone: none of its tasks is
 // started any more by this leader.
-func (l *leaderState) setAsideProgress(j *job, group int) {
+func (l *leaderState) dropProgress(j *job, group int) {
 	if checkpoints := inGroup(j.Checkpoints, group); len(checkpoints) > 0 {
 		for task := range checkpoints {
 			delete(j.Checkpoints, task)
@@ -68,6 +68,6 @@
 		}
 		return
 	}
-	j.setAside = true
-	l.state.logDecision(Decision{Part: "job", Action: "job set aside", Subject: string(j.ID), Where: j.Queue, Reason: "the store rejects its progress"})
+	j.unstorable = true
+	l.state.logDecision(Decision{Part: "job", Action: "job cannot be stored", Subject: string(j.ID), Where: j.Queue, Reason: "the store rejects its progress"})
 }
--- a/core/scheduler/reject_test.go
+++ b/core/scheduler/reject_test.go
@@ -101,9 +101,9 @@
 	}
 }
 
-// TestRejectedRowIsSetAside guards against one row that the store rejects for good and
+// TestRejectedRowIsDropped guards against one row that the store rejects for good and
 // that holds up the commits of all jobs and the lease.
-func TestRejectedRowIsSetAside(t *testing.T) {
+func TestRejectedRowIsDropped(t *testing.T) {
 	for _, named := range []bool{true, false} {
 		sim := newSimulation(t, 2, 4)
 		sim.waitForLeader()
