--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -588,21 +588,24 @@
 // carried out by the next incarnation of a worker: that start granted a lease there, so
 // that a sync without an answer, sent before the restart, must not end the run.
 func TestLeaseOfStartAcrossRestart(t *testing.T) {
-	sim := newSimulation(t, 1, 2)
-	sim.waitForLeader()
-	l := sim.leader().state.leaderOf(0)
-	sim.advance(maxLeaseDuration(testBounds))
-	l.workers["w01"].pauseStarts(time.Second)
-	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
-	sim.waitFor(time.Second, "a sync that waits for the end of a run", func() bool {
-		return sim.workerRunning(structs.TaskRef{Job: jobA}) != nil && l.workers["w00"].syncInFlight
-	})
-	f := sim.workers["w00"]
-	f.unlisted = true
-	f.crash()
-	f.boot()
-	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 5*time.Second, 1000))
-	sim.waitFor(time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
-	f.disconnected = true // the run goes on, and no answer comes back
-	sim.advance(syncWait + 2*syncTimeoutSlack + time.Second)
+	for _, named := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.waitForLeader()
+		l := sim.leader().state.leaderOf(0)
+		sim.advance(maxLeaseDuration(testBounds))
+		l.workers["w01"].pauseStarts(time.Second)
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+		sim.waitFor(time.Second, "a sync that waits for the end of a run", func() bool {
+			return sim.workerRunning(structs.TaskRef{Job: jobA}) != nil && l.workers["w00"].syncInFlight
+		})
+		f := sim.workers["w00"]
+		f.commandsNameIncarnation = named
+		f.unlisted = true
+		f.crash()
+		f.boot()
+		sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 5*time.Second, 1000))
+		sim.waitFor(time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
+		f.disconnected = true // the run goes on, and no answer comes back
+		sim.advance(syncWait + 2*syncTimeoutSlack + time.Second)
+	}
 }
