scheduler: a new leader asks a worker for some seconds before it gives up its runs

Cause: the bound of the worker's lease is counted from the takeover, and had passed when the first sync was sent. One lost answer was then enough to give up the runs, with the list of their ends unread.

Change: without a stored end of its runs, a worker is asked for three syncs without an answer before its runs are given up.

Measured: TestWorkerIsAskedBeforeItsRunsAreGivenUp: 9 starts of 6 tasks without the change, 6 with it.

--- a/core/scheduler/leadership_test.go
+++ b/core/scheduler/leadership_test.go
@@ -238,3 +238,25 @@
 		t.Error("no leader")
 	}
 }
+
+// TestWorkerIsAskedBeforeItsRunsAreGivenUp guards against tasks that run again although they
+// are done: a leader that takes long to read its state must not give up a worker's runs
+// after a single sync without an answer, although their lease has run out by then.
+func TestWorkerIsAskedBeforeItsRunsAreGivenUp(t *testing.T) {
+	sim := newSimulation(t, 2, 2)
+	sim.waitForLeader()
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(6, 3*time.Second, 1000))
+	sim.waitFor(time.Second, "starts", func() bool { return len(sim.workers["w00"].runs)+len(sim.workers["w01"].runs) == 6 })
+	sim.leader().kill()
+	sim.waitFor(8*time.Second, "a takeover", func() bool { return sim.leader() != nil })
+	l := sim.leader().state.leaderOf(0)
+	l.tookOverAt -= 2 * maxLeaseDuration(testBounds) // as if the state had been read for long
+	f := sim.workers["w00"]
+	f.disconnected = true
+	sim.advance(syncTimeoutSlack + 500*time.Millisecond)
+	f.disconnected = false
+	sim.waitFor(8*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	if n := f.starts + sim.workers["w01"].starts; n != 6 {
+		t.Errorf("%d starts of 6 tasks", n)
+	}
+}
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -13,6 +13,10 @@
 	// leaseEndSlack covers delays between the end of a lease and the end of the
 	// runs under it, in addition to the stop timeout.
 	leaseEndSlack = 300 * time.Millisecond
+	// minAskTime is how long a new leader asks a worker before it gives up its runs, even if
+	// their lease has run out: the worker may list ends of tasks that are done. It covers
+	// three syncs without an answer.
+	minAskTime = 3 * (syncTimeoutSlack + syncRetryInterval)
 )
 
 // maxLeaseDuration returns the longest real time for which a lease granted now,
@@ -47,7 +51,7 @@
 // its lease is renewed before.
 func (w *worker) allRunsEndedAt(b Bounds) Instant {
 	if w.sentLeaseEnd == 0 { // this leader has granted no other lease
-		end := w.leader.tookOverAt + maxLeaseDuration(b)
+		end := max(w.leader.tookOverAt+maxLeaseDuration(b), w.firstAskedAt+minAskTime)
 		if w.inheritedEnd > 0 {
 			end = min(end, w.inheritedEnd)
 		}
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -73,6 +73,9 @@
 	e.Timeout = e.Wait + syncTimeoutSlack
 	w.syncInFlight = true
 	sent := l.state.now
+	if w.firstAskedAt == 0 {
+		w.firstAskedAt = sent
+	}
 	e.ID = l.state.expectOutcome(func(body EventBody) {
 		w.syncInFlight = false
 		if !l.steppedDown && l.workers[w.id] == w {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -19,6 +19,7 @@
 
 	listsRead          bool    // its lists have been read completely under this epoch
 	moreEnded          bool    // its last answer did not list all ends
+	firstAskedAt       Instant // when this leader sent its first sync; 0: not yet
 	answeredSyncSentAt Instant // when the last answered sync was sent
 	syncedAt           Instant // when the last sync was answered
 	incarnation        int64   // start time that identifies its incarnation; 0: not known
