scheduler: the clock in the answer to a start shows its incarnation

Change: an answer whose clock is higher than the time since the last answered sync was sent cannot be of the next incarnation, whose clock began later; such a run does not hold up the acknowledgement, and ends with a restart at once, as before.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -120,11 +121,26 @@
 
 // confirmedByKnownIncarnation reports whether the incarnation that answered the last sync,
 // or an earlier one, has confirmed a run. Answers to starts do not name the incarnation: one
-// that arrived after that sync was sent may be of the next incarnation.
+// that arrived after that sync was sent may be of the next incarnation, unless its clock
+// shows otherwise.
 func (w *worker) confirmedByKnownIncarnation(r *run) bool {
-	return r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt
+	if r.confirmedAt == 0 {
+		return false
+	}
+	return r.confirmedAt <= w.answeredSyncSentAt || r.ofIncarnation != 0 && r.ofIncarnation == w.incarnation
+}
+
+// isClockOfIncarnation reports whether an answer with this clock is certainly not of the
+// next incarnation, whose clock began after the last answered sync was sent.
+func (w *worker) isClockOfIncarnation(clockMS int64) bool {
+	const maxClockRate = 1.05 // of a clock that began anew, with a margin
+	youngest := float64((w.leader.state.now - w.answeredSyncSentAt).Milliseconds()) * maxClockRate
+	return w.answeredSyncSentAt > 0 && float64(clockMS) > youngest+float64(clockSlack.Milliseconds())
 }
 
+// clockSlack covers rounding of clocks in answers.
+const clockSlack = 50 * time.Millisecond
+
 // handleGone handles a worker whose incarnation has ended.
 func (w *worker) handleGone(reason string) {
 	w.leader.state.logDecision(Decision{Part: "worker", Action: "gone", Subject: string(w.id), Reason: reason, Age: w.leader.state.now - w.answeredSyncSentAt})
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -370,6 +370,26 @@
 	}
 }
 
+// TestEndsAreAcknowledgedUnderLoad guards against ends that stay unacknowledged for as long as
+// tasks are started on their worker: the clock in the answer to a start shows that it is of
+// the incarnation that the leader knows.
+func TestEndsAreAcknowledgedUnderLoad(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.advance(5 * time.Second)
+	f := sim.workers["w00"]
+	most := 0
+	for i := range 100 {
+		sim.submitAndWait(sim.hosts[0], fmt.Sprintf("%016x", i), singleStepJob(1, 100*time.Millisecond, 100))
+		sim.advance(25 * time.Millisecond)
+		most = max(most, len(f.endedRuns))
+	}
+	const limit = 16 // ends within a few syncs
+	if most > limit {
+		t.Errorf("%d ends are not acknowledged, want at most %d", most, limit)
+	}
+}
+
 // TestStartReachesNextIncarnation guards against a second run of a task whose start
 // was in flight while a sync detected a restart of the worker: the new incarnation
 // carries it out.
