scheduler: building the list of used workers has no side effect; tests of restarts in a file of their own

The ends of runs in the list are recorded as published when the row is taken into a commit, as before, and not while the row is built.

--- a/core/scheduler/commititems.go
+++ b/core/scheduler/commititems.go
@@ -51,8 +51,12 @@
 		list.maxRows = c.rowLimit
 	}
 	partition := l.shard.partition()
-	if c.usedWorkersChanged && l.isLoaded() && list.add(commitItem{kind: itemUsedWorkers, write: Write{TableControl, partition, KeyUsedWorkers, l.usedWorkers()}}) {
-		c.usedWorkersChanged = false
+	if c.usedWorkersChanged && l.isLoaded() {
+		used := l.usedWorkers()
+		if list.add(commitItem{kind: itemUsedWorkers, write: Write{TableControl, partition, KeyUsedWorkers, used}}) {
+			c.usedWorkersChanged = false
+			l.usedWorkersSent(used)
+		}
 	}
 	if c.plan != nil && list.add(commitItem{kind: itemPlan, write: Write{TableShards, partition, KeyPlan, *c.plan}}) {
 		c.plan = nil
--- /dev/null
+++ b/core/scheduler/restart_test.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// TestWorkerRestart guards against tasks that are lost when their worker restarts
+// under the same ID, and against ends of the new incarnation that are taken for
+// those of the old one, since both are numbered from 1.
+func TestWorkerRestart(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(2, time.Second, 1000))
+	sim.advance(1500 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(2, time.Second, 1000))
+	sim.advance(500 * time.Millisecond)
+	f := sim.workers["w00"]
+	f.crash()
+	f.boot()
+	sim.waitFor(8*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+}
+
+// TestAckDoesNotReachNextIncarnation guards against an acknowledgement of ends of
+// one incarnation of a worker that reaches the next one and makes it discard an end
+// that the leader has not read.
+func TestAckDoesNotReachNextIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	sim.advance(200 * time.Millisecond)
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	f.onStart = func(StartTask) startOutcome { return startUnanswered }
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
+
+// TestStartConfirmedByNextIncarnation guards against a second run of a task that the next
+// incarnation of an idle worker has confirmed: the leader learns of the restart from the
+// list of workers only afterwards, since answers to starts do not name the incarnation.
+func TestStartConfirmedByNextIncarnation(t *testing.T) {
+	for _, named := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.waitForLeader()
+		sim.advance(testBounds.MaxLease)
+		l := sim.leader().state.leaderOf(0)
+		l.workers["w01"].pauseStarts(200 * time.Millisecond)
+		f := sim.workers["w00"]
+		f.commandsNameIncarnation = named
+		f.unlisted = true
+		f.crash()
+		f.boot()
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(3, 2*time.Second, 1000))
+		sim.waitFor(time.Second, "starts", func() bool { return f.starts == 3 })
+		sim.advance(20 * time.Millisecond)
+		f.writeEntry(false)
+		sim.waitFor(8*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+		if n := f.starts + sim.workers["w01"].starts; n != 3 {
+			t.Errorf("%d starts of 3 tasks", n)
+		}
+	}
+}
+
+// TestAckDoesNotDiscardEndOfConfirmedRun guards against an acknowledgement of ends of one
+// incarnation that makes the next one discard the end of a run that it has confirmed, so
+// that the task runs again although it is done.
+func TestAckDoesNotDiscardEndOfConfirmedRun(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	sim.advance(200 * time.Millisecond)
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 2*time.Millisecond, 1000))
+	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
+
+// TestEndsAreAcknowledgedUnderLoad guards against ends that stay unacknowledged for as long as
+// tasks are started on their worker: the clock in the answer to a start shows that it is of
+// the incarnation that the leader knows.
+func TestEndsAreAcknowledgedUnderLoad(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.advance(5 * time.Second)
+	f := sim.workers["w00"]
+	most := 0
+	for i := range 100 {
+		sim.submitAndWait(sim.hosts[0], fmt.Sprintf("%016x", i), singleStepJob(1, 100*time.Millisecond, 100))
+		sim.advance(25 * time.Millisecond)
+		most = max(most, len(f.endedRuns))
+	}
+	const limit = 16 // ends within a few syncs
+	if most > limit {
+		t.Errorf("%d ends are not acknowledged, want at most %d", most, limit)
+	}
+}
+
+// TestStartReachesNextIncarnation guards against a second run of a task whose start
+// was in flight while a sync detected a restart of the worker: the new incarnation
+// carries it out.
+func TestStartReachesNextIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	f.crash()
+	f.boot()
+	sim.advance(testBounds.MaxLease) // an idle worker is synchronized rarely, so the next start precedes the detection of a restart
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	f.onStart = func(StartTask) startOutcome { return startUnanswered }
+	l := sim.leader().state.leaderOf(0)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 3*time.Second, 1000))
+	sim.advance(20 * time.Millisecond)
+	if r := l.workers["w00"].runs; len(r) != 1 {
+		t.Fatalf("%d runs on the worker, want 1", len(r))
+	}
+	l.workers["w00"].handleRestart(f.incarnation)
+	sim.waitFor(12*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	if f.starts != 1 {
+		t.Errorf("%d starts of one task, want 1", f.starts)
+	}
+}
+
+// TestNextIncarnationWithLowerStartTime guards against a worker whose answers are ignored
+// for good because its time of day has jumped back before it started again.
+func TestNextIncarnationWithLowerStartTime(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(2, time.Second, 1000))
+	f := sim.workers["w00"]
+	sim.waitFor(time.Second, "starts", func() bool { return len(f.runs) == 2 })
+	f.crash()
+	f.clockBehind = time.Minute
+	f.boot()
+	sim.waitFor(10*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+}
+
+// TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
+// incarnation: the lists show the next one before its entry is read.
+func TestLabelsOfNextIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	f.unlisted = true
+	f.crash()
+	f.boot()
+	l := sim.leader().state.leaderOf(0)
+	sim.waitFor(5*time.Second, "detection of the restart", func() bool { return l.workers["w00"].incarnation == f.incarnation })
+	job := singleStepJob(1, time.Second, 1000)
+	job.Steps[0].Label = "a"
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	sim.advance(time.Second)
+	if f.starts > 0 {
+		t.Fatal("a task was started by the labels of the former incarnation")
+	}
+	f.writeEntry(false)
+	sim.waitFor(3*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+}
+
+// TestLeaseOfStartAcrossRestart guards against a second run of a task whose start was
+// carried out by the next incarnation of a worker: that start granted a lease there, so
+// that a sync without an answer, sent before the restart, must not end the run.
+func TestLeaseOfStartAcrossRestart(t *testing.T) {
+	for _, named := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.waitForLeader()
+		l := sim.leader().state.leaderOf(0)
+		sim.advance(maxLeaseDuration(testBounds))
+		l.workers["w01"].pauseStarts(time.Second)
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+		sim.waitFor(time.Second, "a sync that waits for the end of a run", func() bool {
+			return sim.workerRunning(structs.TaskRef{Job: jobA}) != nil && l.workers["w00"].syncInFlight
+		})
+		f := sim.workers["w00"]
+		f.commandsNameIncarnation = named
+		f.unlisted = true
+		f.crash()
+		f.boot()
+		sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 5*time.Second, 1000))
+		sim.waitFor(time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
+		f.disconnected = true // the run goes on, and no answer comes back
+		sim.advance(syncWait + 2*syncTimeoutSlack + time.Second)
+	}
+}
--- a/core/scheduler/usedworkers.go
+++ b/core/scheduler/usedworkers.go
@@ -18,7 +18,6 @@
 		u.Workers[w.id] = w.entry.Address
 		if w.failedSyncs > 0 {
 			u.RunsEndMS[w.id] = l.storeTimeOf(w.allRunsEndedAt(l.state.bounds))
-			w.endPublished = true // the store may perform the commit without an answer
 		}
 	}
 	for _, used := range []bool{true, false} { // those that may have runs come first
@@ -31,6 +30,14 @@
 	return u
 }
 
+// usedWorkersSent records which ends of runs a commit contains: the store may perform it
+// without an answer.
+func (l *leaderState) usedWorkersSent(u UsedWorkersRow) {
+	for id := range u.RunsEndMS {
+		l.workers[id].endPublished = true
+	}
+}
+
 // usedWorkersStored allows starts on the workers that the store now lists as used.
 func (l *leaderState) usedWorkersStored(u UsedWorkersRow) {
 	for _, id := range l.workerIDs {
