scheduler: logs say what showed a restart and by what a run counts as ended with it

The reason now names which, 'run kept' names the runs that a restart leaves, and 'worker: started again' names its source and the age of the last lists.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -89,15 +89,32 @@
 	return r
 }
 
+// What showed that a worker has started again, as logs name it.
+const (
+	shownByEntry   = "its entry in the list"
+	shownByLists   = "its lists of runs"
+	shownByCommand = "the answer to a command"
+)
+
 // handleRestart handles a new incarnation of the worker. The runs that the old one is
 // known to have confirmed ended with it. The new one may have carried out the other
 // starts, so that these runs are kept until its lists are read.
-func (w *worker) handleRestart(incarnation int64) {
+func (w *worker) handleRestart(incarnation int64, shownBy string) {
 	l := w.leader
-	l.state.logDecision(Decision{Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation)})
+	l.state.logDecision(Decision{
+		Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation), Reason: shownBy, Age: l.state.now - w.answeredSyncSentAt,
+	})
 	for _, r := range w.sortedRuns() {
-		if w.confirmedByKnownIncarnation(r) {
-			l.runLost(r, "the worker started again")
+		switch {
+		case r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt:
+			l.runLost(r, "the worker started again, confirmed before its last lists")
+		case w.confirmedByKnownIncarnation(r):
+			l.runLost(r, "the worker started again, confirmed with its former clock")
+		default:
+			l.state.logDecision(Decision{
+				Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
+				Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
+			})
 		}
 	}
 	if len(w.runs) > 0 {
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -131,7 +131,7 @@
 	if r := l.workers["w00"].runs; len(r) != 1 {
 		t.Fatalf("%d runs on the worker, want 1", len(r))
 	}
-	l.workers["w00"].handleRestart(f.incarnation)
+	l.workers["w00"].handleRestart(f.incarnation, shownByEntry)
 	sim.waitFor(12*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	if f.starts != 1 {
 		t.Errorf("%d starts of one task, want 1", f.starts)
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -130,7 +130,7 @@
 		return
 	}
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
-		w.handleRestart(h.Incarnation)
+		w.handleRestart(h.Incarnation, shownByLists)
 	}
 	l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || w.endPublished
 	w.failedSyncs = 0
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -149,7 +149,7 @@
 	renewed := e.Incarnation != w.entry.Incarnation
 	w.entry, w.listed = e, true
 	if renewed && w.incarnation != 0 && e.Incarnation > w.incarnation {
-		w.handleRestart(e.Incarnation)
+		w.handleRestart(e.Incarnation, shownByEntry)
 	}
 	if changed && l.isLoaded() {
 		w.syncSoon()
