--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,6 +27,7 @@
 	unlisted        bool          // new incarnations do not write an entry into the list
 	incarnation     int64
 	startedAt       time.Duration // start of this incarnation
+	clockOrigin     int64         // what its clock showed then, in ms
 	epoch           structs.Epoch
 	leaseEnd        int64
 	runs            map[runKey]*fakeRun
@@ -93,11 +95,25 @@
 	f.generation++
 	f.alive, f.incarnation, f.startedAt, f.epoch, f.leaseEnd = true, f.sim.wall()+int64(f.generation)-f.clockBehind.Milliseconds(), f.sim.now, 0, 0
 	f.runs, f.highestRun, f.endedRuns, f.lastEnd, f.lastEndAtExpiry, f.waitingSyncs = make(map[runKey]*fakeRun), make(map[structs.TaskRef]structs.Run), nil, 0, 0, nil
+	f.clockOrigin = rand.New(rand.NewPCG(uint64(f.generation), uint64(len(f.id)))).Int64N(maxFakeClockOrigin.Milliseconds())
 	if !f.unlisted {
 		f.writeEntry(false)
 	}
 }
 
+// maxFakeClockOrigin bounds the value at which the clock of an incarnation begins.
+const maxFakeClockOrigin = 3 * time.Hour
+
+// restartAccepting starts a new incarnation whose clock is behind that of the former one,
+// so that it carries out starts that were meant for the former one. With a clock ahead it
+// would refuse them, since the end of their lease is over.
+func (f *fakeWorker) restartAccepting() {
+	former := f.clock()
+	f.crash()
+	f.boot()
+	f.clockOrigin = former / 2
+}
+
 // writeEntry writes the worker's entry into the list of workers.
 func (f *fakeWorker) writeEntry(draining bool) {
 	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: []string{"a", f.rack}, Rack: f.rack, Incarnation: f.incarnation}
@@ -136,7 +152,7 @@
 }
 
 func (f *fakeWorker) clock() int64 {
-	return int64(float64((f.sim.now - f.startedAt).Milliseconds()) * 0.99)
+	return f.clockOrigin + int64(float64((f.sim.now-f.startedAt).Milliseconds())*0.99)
 }
 
 func (f *fakeWorker) grantLease(end int64) {
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -35,8 +35,7 @@
 	sim.waitFor(time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	sim.advance(200 * time.Millisecond)
 	f.unlisted = true
-	f.crash()
-	f.boot()
+	f.restartAccepting()
 	f.onStart = func(StartTask) startOutcome { return startUnanswered }
 	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 50*time.Millisecond, 1000))
 	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
@@ -58,8 +57,7 @@
 		f := sim.workers["w00"]
 		f.commandsNameIncarnation = named
 		f.unlisted = true
-		f.crash()
-		f.boot()
+		f.restartAccepting()
 		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(3, 2*time.Second, 1000))
 		sim.waitFor(time.Second, "starts", func() bool { return f.starts == 3 })
 		sim.advance(20 * time.Millisecond)
@@ -82,8 +80,7 @@
 	sim.waitFor(time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	sim.advance(200 * time.Millisecond)
 	f.unlisted = true
-	f.crash()
-	f.boot()
+	f.restartAccepting()
 	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 2*time.Millisecond, 1000))
 	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
 	if f.starts != 2 {
@@ -122,8 +119,7 @@
 	f.boot()
 	sim.advance(testBounds.MaxLease) // an idle worker is synchronized rarely, so the next start precedes the detection of a restart
 	f.unlisted = true
-	f.crash()
-	f.boot()
+	f.restartAccepting()
 	f.onStart = func(StartTask) startOutcome { return startUnanswered }
 	l := sim.leader().state.leaderOf(0)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 3*time.Second, 1000))
@@ -191,8 +187,7 @@
 		f := sim.workers["w00"]
 		f.commandsNameIncarnation = named
 		f.unlisted = true
-		f.crash()
-		f.boot()
+		f.restartAccepting()
 		sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 5*time.Second, 1000))
 		sim.waitFor(time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
 		f.disconnected = true // the run goes on, and no answer comes back
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -22,6 +22,7 @@
 	maxCommandDelay    = 5 * time.Second // delay within which a late command is executed
 	tickInterval       = 10 * time.Millisecond
 	checkpointInterval = 500 * time.Millisecond // of work
+	maxClockOrigin     = 3 * time.Hour          // below which the clock of an incarnation begins
 )
 
 // TaskSpec is the specification of a task in the jobs of the soak test, as JSON.
@@ -65,9 +66,10 @@
 	faults           WorkerFaults
 	alive            bool
 	draining         bool
-	incarnation      int                 // grows with each boot and each crash
-	bootedMS         int64               // Unix milliseconds
-	bootedAt         time.Time           // origin of its clock
+	incarnation      int   // grows with each boot and each crash
+	bootedMS         int64 // Unix milliseconds
+	bootedAt         time.Time
+	clockOriginMS    int64               // what its clock showed at bootedAt
 	epoch            uint64              // highest fencing token seen
 	leaseEndMS       int64               // on its clock
 	runs             map[string]*taskRun // by task
@@ -93,6 +95,7 @@
 	w.alive, w.draining, w.bootedAt, w.bootedMS = true, false, time.Now(), time.Now().UnixMilli()
 	w.epoch, w.leaseEndMS, w.lastEndNumber, w.acknowledgedUpTo, w.listedAtExpiry = 0, 0, 0, 0, 0
 	w.runs, w.highestRun, w.ended = make(map[string]*taskRun), make(map[string]uint64), nil
+	w.clockOriginMS = rand.Int64N(maxClockOrigin.Milliseconds())
 	incarnation := w.incarnation
 	w.mu.Unlock()
 	w.register()
@@ -152,10 +155,10 @@
 	w.store.Put("servers", w.ID, value)
 }
 
-// clockMS returns the time on the worker's clock since its incarnation began, in
-// milliseconds.
+// clockMS returns the time on the worker's clock in milliseconds. It begins anew with
+// each incarnation, at any value.
 func (w *Worker) clockMS() int64 {
-	return int64(float64(time.Since(w.bootedAt).Milliseconds()) * w.ClockRate)
+	return w.clockOriginMS + int64(float64(time.Since(w.bootedAt).Milliseconds())*w.ClockRate)
 }
 
 // runTasks ends runs whose work is done, and all runs when the lease expires. It
--- a/standin/jobplatform/worker_test.go
+++ b/standin/jobplatform/worker_test.go
@@ -40,7 +40,10 @@
 				Spec: `{"work_ms":50}`, TaskCounts: []int{1}, Dependencies: [][]int{nil}, MilliCores: []int64{100}, MaxAttempts: 3,
 			})
 			start := func(run, leaseMS int64) {
-				post(t, w, "run-start", fmt.Sprintf(`{"Task":%q,"Run":%d,"Spec":"{\"work_ms\":50}","DeadlineMs":%d,"FencingToken":1}`, testTask, run, leaseMS))
+				w.mu.Lock()
+				leaseEnd := w.clockMS() + leaseMS
+				w.mu.Unlock()
+				post(t, w, "run-start", fmt.Sprintf(`{"Task":%q,"Run":%d,"Spec":"{\"work_ms\":50}","DeadlineMs":%d,"FencingToken":1}`, testTask, run, leaseEnd))
 			}
 			start(1, c.leaseMS)
 			time.Sleep(600 * time.Millisecond) // twice the shorter lease
