scheduler: only lists of runs tell the incarnations of a worker apart

Cause: since the clock in the answer to a start counted as proof of the incarnation: one that showed more than the time since the last sync was taken for the old clock. That holds only if the clock of an incarnation begins near zero. So each confirmed run counted as ended with the restart, as before, and ends of the new incarnation could be acknowledged unread.

A run now belongs to the known incarnation only if it was confirmed before a sync that this one answered. The clock of a worker is read from syncs only: a delayed answer to a start could show the clock of a former incarnation. An acknowledgement is sent only while it is due, alone (no start is on its way with it, none since the last answered sync); ends that stay due for 0.3 s hold up starts on their worker until they are acknowledged.

--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -34,9 +34,10 @@
 	highestRun      map[structs.TaskRef]structs.Run // highest run stopped or ended on this worker, by task
 	endedRuns       []structs.EndedRun
 	lastEnd         uint64
-	lastEndAtExpiry uint64   // number of the last end when the lease expired
-	waitingSyncs    []func() // syncs that wait for an end
-	generation      int      // counts boots and crashes
+	lastEndAtExpiry uint64        // number of the last end when the lease expired
+	waitingSyncs    []func()      // syncs that wait for an end
+	syncTransit     time.Duration // further time to the arrival of a sync, which the incarnation that is there then carries out
+	generation      int           // counts boots and crashes
 	starts          int
 
 	// commandsNameIncarnation makes answers to commands name the incarnation, as answers
@@ -326,7 +327,10 @@
 func (f *fakeWorker) syncLists(h fakeConnection, e SyncWorker) {
 	generation := f.generation
 	unanswered := WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeUnknown}
-	f.sim.after(workerDelay, func() {
+	f.sim.after(workerDelay+f.syncTransit, func() {
+		if f.syncTransit > 0 {
+			generation = f.generation
+		}
 		if !f.alive || f.disconnected || f.generation != generation {
 			h.deliverAfter(e.Timeout, unanswered)
 			return
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -82,15 +82,16 @@
 	}
 }
 
-// observeClock records the worker's clock from an answer.
+// observeClock records the worker's clock from the answer to a sync. Other answers do not
+// name the incarnation whose clock they show.
 func (w *worker) observeClock(ms int64) {
 	if ms > 0 {
 		w.clockMS, w.clockAt = ms, w.leader.state.now
 	}
 }
 
-// observeAnswer updates the worker's clock and incarnation from the answer to a
-// command. The run of the command, r, belongs to the incarnation that answered.
+// observeAnswer updates the worker's incarnation from the answer to a command that names
+// it. The run of the command, r, belongs to the incarnation that answered.
 func (w *worker) observeAnswer(o CommandDone, r *run) {
 	if o.Incarnation != 0 && o.Incarnation < w.incarnation {
 		return // a delayed answer of an earlier incarnation
@@ -101,5 +102,4 @@
 		w.addRun(r)
 		w.boundLeases()
 	}
-	w.observeClock(o.ClockMS)
 }
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -105,23 +104,21 @@
 		Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation), Reason: shownBy, Age: l.state.now - w.answeredSyncSentAt,
 	})
 	for _, r := range w.sortedRuns() {
-		switch {
-		case r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt:
+		if w.confirmedByKnownIncarnation(r) {
 			l.runLost(r, "the worker started again, confirmed before its last lists")
-		case w.confirmedByKnownIncarnation(r):
-			l.runLost(r, "the worker started again, confirmed with its former clock")
-		default:
-			l.state.logDecision(Decision{
-				Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
-				Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
-			})
+			continue
 		}
+		l.state.logDecision(Decision{
+			Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
+			Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
+		})
 	}
 	if len(w.runs) > 0 {
 		w.boundLeases()
 	}
 	w.incarnationSeenAt = l.state.now
-	w.incarnation, w.listsRead, w.moreEnded, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, false, 0, 0, nil
+	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
+	w.acks = ackState{inFlight: w.acks.inFlight}
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.leader.markReconciled(w.id)
 	w.throttle = throttleState{speedLimit: fullSpeed}
@@ -138,26 +135,18 @@
 
 // confirmedByKnownIncarnation reports whether the incarnation that answered the last sync,
 // or an earlier one, has confirmed a run. Answers to starts do not name the incarnation: one
-// that arrived after that sync was sent may be of the next incarnation, unless its clock
-// shows otherwise.
+// that arrived after that sync was sent may be of the next one. Their clock does not tell
+// either, since the clock of an incarnation begins at any value.
 func (w *worker) confirmedByKnownIncarnation(r *run) bool {
-	if r.confirmedAt == 0 {
-		return false
-	}
-	return r.confirmedAt <= w.answeredSyncSentAt || r.ofIncarnation != 0 && r.ofIncarnation == w.incarnation
+	return r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt
 }
 
-// isClockOfIncarnation reports whether an answer with this clock is certainly not of the
-// next incarnation, whose clock began after the last answered sync was sent.
-func (w *worker) isClockOfIncarnation(clockMS int64) bool {
-	const maxClockRate = 1.05 // of a clock that began anew, with a margin
-	youngest := float64((w.leader.state.now - w.answeredSyncSentAt).Milliseconds()) * maxClockRate
-	return w.answeredSyncSentAt > 0 && float64(clockMS) > youngest+float64(clockSlack.Milliseconds())
+// refusedByKnownIncarnation reports whether the same has acknowledged a stop of a run, after
+// which it does not begin.
+func (w *worker) refusedByKnownIncarnation(r *run) bool {
+	return r.stopAckedAt > 0 && r.stopAckedAt <= w.answeredSyncSentAt
 }
 
-// clockSlack covers rounding of clocks in answers.
-const clockSlack = 50 * time.Millisecond
-
 // handleGone handles a worker whose incarnation has ended.
 func (w *worker) handleGone(reason string) {
 	w.leader.state.logDecision(Decision{Part: "worker", Action: "gone", Subject: string(w.id), Reason: reason, Age: w.leader.state.now - w.answeredSyncSentAt})
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -88,6 +88,67 @@
 	}
 }
 
+// TestDueAckDoesNotDiscardEndOfConfirmedRun guards against the same when an end is due at the
+// restart: the next start follows that end, and the worker restarts before it arrives.
+func TestDueAckDoesNotDiscardEndOfConfirmedRun(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	f.onStart = func(e StartTask) startOutcome {
+		if e.Task.Job == jobB && !f.unlisted {
+			f.unlisted = true
+			f.restartAccepting()
+		}
+		return startAnswered
+	}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 8000))
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 2*time.Millisecond, 8000))
+	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
+
+// TestAckInFlightDoesNotDiscardEnd guards against the same by an acknowledgement that is on
+// its way while a task is started: the next incarnation confirms the start, ends the run,
+// and then receives the acknowledgement.
+func TestAckInFlightDoesNotDiscardEnd(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	w := sim.leader().state.leaderOf(0).workers["w00"]
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(time.Second, "the end", func() bool { return len(f.endedRuns) > 0 })
+	f.syncTransit = 400 * time.Millisecond
+	sim.waitFor(time.Second, "an acknowledgement on its way", func() bool { return w.acks.inFlight })
+	f.unlisted = true
+	f.restartAccepting()
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 2*time.Millisecond, 1000))
+	sim.advance(time.Second)
+	f.syncTransit = 0
+	f.writeEntry(false)
+	sim.waitFor(4*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
+
+// TestClockOfDelayedAnswer guards against a lease that is computed with the clock of a former
+// incarnation: an answer to a start that arrives after the lists of the next one shows it.
+func TestClockOfDelayedAnswer(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	w := sim.leader().state.leaderOf(0).workers["w00"]
+	former := f.clock()
+	f.restartAccepting()
+	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.listsRead })
+	w.observeAnswer(CommandDone{Outcome: structs.OutcomeDone, ClockMS: former}, nil)
+	if lead := w.clockLowerBound(sim.now) - f.clock(); lead > 0 {
+		t.Errorf("the clock of the worker is taken to be %d ms ahead", lead)
+	}
+}
+
 // TestEndsAreAcknowledgedUnderLoad guards against ends that stay unacknowledged for as long as
 // tasks are started on their worker: the clock in the answer to a start shows that it is of
 // the incarnation that the leader knows.
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -31,7 +31,6 @@
 	startSentAt     Instant
 	startCounted    bool    // the start counts as outstanding in the leader's start window
 	confirmedAt     Instant // when the worker confirmed the start; 0: not confirmed
-	ofIncarnation   int64   // incarnation that certainly confirmed the start; 0: not known
 	stopRequestedAt Instant // 0: no stop requested
 	stopSentAt      Instant // last stop command
 	stopAckedAt     Instant // 0: not acknowledged
@@ -126,9 +125,6 @@
 	switch {
 	case o.Outcome == structs.OutcomeDone:
 		r.confirmedAt = l.state.now
-		if w.isClockOfIncarnation(o.ClockMS) {
-			r.ofIncarnation = w.incarnation
-		}
 		if r.phase == phaseStarting || r.phase == phaseUnknown {
 			r.phase = phaseRunning
 		}
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -57,12 +57,10 @@
 		return
 	}
 	e := SyncWorker{WorkerCommand: l.newCommand(w)}
-	// A start since the last answered sync may have reached the next incarnation of the
-	// worker, which numbers its ends from 1: an acknowledgement would discard them unread.
-	// Without one, on the other hand, a worker lists no further ends.
-	if !w.hasRunOfUnknownIncarnation() || w.moreEnded {
-		e.AckedThrough = w.durableEnd
+	if !w.hasRunOfUnknownIncarnation() {
+		e.AckedThrough = w.acks.next()
 	}
+	w.acks.inFlight = e.AckedThrough > 0
 	// The lease of a worker that does not answer is not renewed: otherwise each sync
 	// would postpone the time after which its runs are certainly over.
 	if (w.listsRead || w.moreEnded) && w.failedSyncs == 0 && !w.endPublished {
@@ -77,9 +75,9 @@
 		w.firstAskedAt = sent
 	}
 	e.ID = l.state.expectOutcome(func(body EventBody) {
-		w.syncInFlight = false
+		w.syncInFlight, w.acks.inFlight = false, false
 		if !l.steppedDown && l.workers[w.id] == w {
-			w.handleSyncAnswer(body.(WorkerSynced), sent)
+			w.handleSyncAnswer(body.(WorkerSynced), sent, e.AckedThrough)
 		}
 	})
 	l.state.emit(e)
@@ -89,7 +87,7 @@
 // sync.
 func (w *worker) syncWaitTime() time.Duration {
 	switch {
-	case !w.runsFiniteTask() || !w.listsRead || w.moreEnded:
+	case !w.runsFiniteTask() || !w.listsRead || w.moreEnded || w.acks.due():
 		return 0
 	case w.isShared():
 		return sharedSyncWait
@@ -97,17 +95,6 @@
 	return syncWait
 }
 
-// hasRunOfUnknownIncarnation reports whether the next incarnation of the worker may have
-// carried out the start of a run.
-func (w *worker) hasRunOfUnknownIncarnation() bool {
-	for _, r := range w.runs {
-		if !w.confirmedByKnownIncarnation(r) {
-			return true
-		}
-	}
-	return false
-}
-
 // runsFiniteTask reports whether the worker runs a task that ends by itself.
 func (w *worker) runsFiniteTask() bool {
 	for _, r := range w.runs {
@@ -118,8 +105,9 @@
 	return false
 }
 
-// handleSyncAnswer applies the answer to a sync that was sent at sent.
-func (w *worker) handleSyncAnswer(h WorkerSynced, sent Instant) {
+// handleSyncAnswer applies the answer to a sync that was sent at sent and acknowledged
+// ends up to a number.
+func (w *worker) handleSyncAnswer(h WorkerSynced, sent Instant, acked uint64) {
 	l := w.leader
 	if h.Outcome != structs.OutcomeDone {
 		w.handleFailedSync(h)
@@ -139,13 +127,10 @@
 		w.incarnation = h.Incarnation
 	}
 	w.observeClock(h.ClockMS)
-	for _, e := range h.Ended {
-		if e.Number > w.lastEnd {
-			w.lastEnd = e.Number
-			w.pendingAcks = append(w.pendingAcks, pendingAck{e.Number, l.commits.nextBatch})
-			l.handleRunEnd(w, e)
-		}
+	if acked > 0 && sent >= w.incarnationSeenAt {
+		w.acks.answered(acked, l.state.now)
 	}
+	w.handleEnds(h.Ended)
 	w.moreEnded = h.MoreEnded
 	w.reconcile(h.Active, sent)
 	if !w.listsRead && !w.moreEnded {
@@ -164,7 +149,7 @@
 // scheduleNextSync schedules the next sync after an answered one.
 func (w *worker) scheduleNextSync() {
 	switch {
-	case w.runsFiniteTask() || len(w.pendingAcks) > 0 || w.moreEnded:
+	case w.runsFiniteTask() || len(w.acks.pending) > 0 || w.acks.due() || w.moreEnded:
 		w.syncSoon()
 	case len(w.runs) > 0:
 		w.syncIn(persistentSyncInterval)
@@ -197,16 +182,3 @@
 	}
 	w.syncIn(syncRetryInterval)
 }
-
-// advanceAck advances the acknowledgement to the ends that are durable after a commit.
-func (w *worker) advanceAck() {
-	advanced := false
-	for len(w.pendingAcks) > 0 && w.pendingAcks[0].batch <= w.leader.commits.durableBatch {
-		w.durableEnd = w.pendingAcks[0].end
-		w.pendingAcks = w.pendingAcks[1:]
-		advanced = true
-	}
-	if advanced {
-		w.syncSoon()
-	}
-}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -42,9 +42,7 @@
 	serving        []*run            // runs with a target for their tail latency
 	bestEffort     []*run            // runs that use idle CPU
 
-	lastEnd     uint64 // number of the last end that was handled
-	durableEnd  uint64 // number of the last end whose effect is stored
-	pendingAcks []pendingAck
+	acks ackState // of the ends that its incarnation lists
 
 	heldFor   *job // job with a waiting persistent task that the worker is kept free for; nil: none
 	heldUntil Instant
@@ -68,11 +66,6 @@
 	w.leader.schedule.requestPassAt(w.heldUntil)
 }
 
-// pendingAck is an end that can be acknowledged once a commit has been stored.
-type pendingAck struct {
-	end, batch uint64
-}
-
 // applyWorkerRows applies rows of the platform's list of workers.
 func (l *leaderState) applyWorkerRows(rows []Row, all bool) {
 	if all {
