scheduler: an entry in the list of workers is no proof of a restart

A task could run twice when a worker had restarted twice, the second time with a lower start time, and its entry of the first restart was read last: the leader took the dead incarnation for the next one and gave up the runs that the lists of the living one had shown. Found by a randomized test of restarts. An entry with another start time now only stops starts, as before, and asks for a sync, whose lists name the incarnation. TestEntryOfEarlierIncarnation fails on the code before (started twice). Price: runs of a dead incarnation are given up one sync later.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -90,7 +90,6 @@
 
 // What showed that a worker has started again, as logs name it.
 const (
-	shownByEntry   = "its entry in the list"
 	shownByLists   = "its lists of runs"
 	shownByCommand = "the answer to a command"
 )
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -188,7 +188,7 @@
 	if r := l.workers["w00"].runs; len(r) != 1 {
 		t.Fatalf("%d runs on the worker, want 1", len(r))
 	}
-	l.workers["w00"].handleRestart(f.incarnation, shownByEntry)
+	l.workers["w00"].handleRestart(f.incarnation, shownByLists)
 	sim.waitFor(12*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	if f.starts != 1 {
 		t.Errorf("%d starts of one task, want 1", f.starts)
@@ -209,6 +209,32 @@
 	sim.waitFor(10*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 }
 
+// TestEntryOfEarlierIncarnation guards against runs that count as ended because the list of
+// workers shows an incarnation that has ended already, which started later by its own clock.
+func TestEntryOfEarlierIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	l := sim.leader().state.leaderOf(0)
+	w := l.workers["w00"]
+	f.restartAccepting()
+	second := w.entry
+	second.Incarnation = f.incarnation
+	f.clockBehind = time.Minute
+	f.restartAccepting()
+	sim.waitFor(5*time.Second, "the lists of the third incarnation", func() bool { return w.incarnation == f.incarnation && w.entryIsCurrent() })
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 5*time.Second, 1000))
+	sim.waitFor(3*time.Second, "the lists that show the run", func() bool { return len(w.runs) == 1 && w.answeredSyncSentAt > w.sortedRuns()[0].confirmedAt })
+	sim.store.set(TableWorkers, "w00", WorkerRow{second})
+	sim.advance(200 * time.Millisecond)
+	f.writeEntry(false)
+	sim.waitFor(6*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	if n := f.starts + sim.workers["w01"].starts; n != 1 {
+		t.Errorf("%d starts of one task, want 1", n)
+	}
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -137,13 +137,10 @@
 	if !w.listed {
 		l.state.logDecision(Decision{Part: "worker", Action: "listed", Subject: string(id), Where: e.Address})
 	}
-	// Entries are written with each heartbeat; only a changed one is worth a sync.
-	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining
-	renewed := e.Incarnation != w.entry.Incarnation
+	// Entries are written with each heartbeat; only a changed one is worth a sync. Another start
+	// time does not prove a restart, since an entry may be older than the lists that are known.
+	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining || w.entry.Incarnation != e.Incarnation
 	w.entry, w.listed = e, true
-	if renewed && w.incarnation != 0 && e.Incarnation > w.incarnation {
-		w.handleRestart(e.Incarnation, shownByEntry)
-	}
 	if changed && l.isLoaded() {
 		w.syncSoon()
 	}
