scheduler: an answer of another worker at a former address does not end the runs at the new one

Two runs of one task: a worker starts again under its ID at another address, a command that was on its way to the former address is answered there by another worker (421), and the leader gave up the runs that the worker had meanwhile confirmed at its new address. Starts, stops and syncs now compare the address that they were sent to.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -146,6 +146,16 @@
 	return r.stopAckedAt > 0 && r.stopAckedAt <= w.answeredSyncSentAt
 }
 
+// handleMisdirected handles the answer of another worker at an address: the worker that was
+// there has ended. It may have started again at another address meanwhile.
+func (w *worker) handleMisdirected(address string) {
+	if address != w.entry.Address {
+		w.syncSoon()
+		return
+	}
+	w.handleGone("another incarnation of the worker answered")
+}
+
 // handleGone handles a worker whose incarnation has ended.
 func (w *worker) handleGone(reason string) {
 	w.leader.state.logDecision(Decision{Part: "worker", Action: "gone", Subject: string(w.id), Reason: reason, Age: w.leader.state.now - w.answeredSyncSentAt})
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -235,6 +235,28 @@
 	}
 }
 
+// TestAnswerAtFormerAddress guards against a second run of a task whose worker has started
+// again at another address: a command that was on its way to the former address is answered
+// by another worker there.
+func TestAnswerAtFormerAddress(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	w, f := l.workers["w00"], sim.workers["w00"]
+	sync := SyncWorker{WorkerCommand: l.newCommand(w)}
+	f.address = "10.0.0.2:w00"
+	f.restartAccepting()
+	sim.waitFor(5*time.Second, "the entry with the new address", func() bool { return w.entry.Address == f.address && w.incarnation == f.incarnation })
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 2*time.Second, 1000))
+	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
+	w.handleSyncAnswer(WorkerSynced{Outcome: structs.OutcomeNotDone, Refused: RefusedIncarnation}, sync, sim.now)
+	sim.waitFor(6*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	if n := f.starts + sim.workers["w01"].starts; n != 1 {
+		t.Errorf("%d starts of one task, want 1", n)
+	}
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -98,7 +98,7 @@
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
 	e.Ticket, _ = l.ticketFor(w, stepKeyOf(ref), l.state.config.policyOf(&j.Job))
-	e.ID = l.expectAnswer(func(o CommandDone) { l.startAnswered(r, o) })
+	e.ID = l.expectAnswer(func(o CommandDone) { l.startAnswered(r, o, e.Address) })
 	l.state.emit(e)
 	l.state.logDecision(Decision{Part: "task", Action: "start ordered", Subject: taskName(ref), Where: string(w.id), Number: uint64(id), Age: l.state.now - w.answeredSyncSentAt})
 }
@@ -113,7 +113,8 @@
 	})
 }
 
-func (l *leaderState) startAnswered(r *run, o CommandDone) {
+// startAnswered handles the outcome of a start that was sent to an address.
+func (l *leaderState) startAnswered(r *run, o CommandDone, address string) {
 	w := r.worker
 	if l.starts.answered(r, o, l.state.now) {
 		l.schedule.requestPass()
@@ -137,11 +138,11 @@
 		l.state.logDecision(Decision{Part: "task", Action: "start without an answer", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id)})
 		w.syncSoon()
 	default:
-		l.startRefused(r, o)
+		l.startRefused(r, o, address)
 	}
 }
 
-func (l *leaderState) startRefused(r *run, o CommandDone) {
+func (l *leaderState) startRefused(r *run, o CommandDone, address string) {
 	w := r.worker
 	l.state.logDecision(Decision{Part: "task", Action: "start refused", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id), Reason: o.Refused.String()})
 	l.discardRun(r)
@@ -151,7 +152,7 @@
 		l.stepDown("a worker has seen a higher epoch")
 		return
 	case RefusedIncarnation:
-		w.handleGone("another incarnation of the worker answered")
+		w.handleMisdirected(address)
 	case RefusedCapacity, RefusedLeaseExpired:
 		w.pauseStarts(refusedPause)
 		w.syncSoon()
@@ -223,8 +224,8 @@
 			r.worker.syncSoon()
 		case o.Refused == RefusedEpoch:
 			l.stepDown("a worker has seen a higher epoch")
-		case o.Refused == RefusedIncarnation:
-			r.worker.handleGone("another incarnation of the worker answered")
+		case o.Refused == RefusedIncarnation && e.Address == r.worker.entry.Address:
+			r.worker.handleMisdirected(e.Address)
 		default:
 			l.after(stopRetryInterval, func() { l.sendStop(r) })
 		}
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -77,7 +77,7 @@
 	e.ID = l.state.expectOutcome(func(body EventBody) {
 		w.syncInFlight, w.acks.inFlight = false, false
 		if !l.steppedDown && l.workers[w.id] == w {
-			w.handleSyncAnswer(body.(WorkerSynced), sent, e.AckedThrough)
+			w.handleSyncAnswer(body.(WorkerSynced), e, sent)
 		}
 	})
 	l.state.emit(e)
@@ -105,12 +105,11 @@
 	return false
 }
 
-// handleSyncAnswer applies the answer to a sync that was sent at sent and acknowledged
-// ends up to a number.
-func (w *worker) handleSyncAnswer(h WorkerSynced, sent Instant, acked uint64) {
+// handleSyncAnswer applies the answer to a sync that was sent at sent.
+func (w *worker) handleSyncAnswer(h WorkerSynced, e SyncWorker, sent Instant) {
 	l := w.leader
 	if h.Outcome != structs.OutcomeDone {
-		w.handleFailedSync(h)
+		w.handleFailedSync(h, e.Address)
 		return
 	}
 	if w.answeredByEarlier(h.Incarnation, sent) {
@@ -127,8 +126,8 @@
 		w.incarnation = h.Incarnation
 	}
 	w.observeClock(h.ClockMS)
-	if acked > 0 && sent >= w.incarnationSeenAt {
-		w.acks.answered(acked, l.state.now)
+	if e.AckedThrough > 0 && sent >= w.incarnationSeenAt {
+		w.acks.answered(e.AckedThrough, l.state.now)
 	}
 	w.handleEnds(h.Ended)
 	w.moreEnded = h.MoreEnded
@@ -158,15 +157,15 @@
 	}
 }
 
-// handleFailedSync handles a sync that was refused or not answered.
-func (w *worker) handleFailedSync(h WorkerSynced) {
+// handleFailedSync handles a sync to an address that was refused or not answered.
+func (w *worker) handleFailedSync(h WorkerSynced, address string) {
 	l := w.leader
 	switch h.Refused {
 	case RefusedEpoch:
 		l.stepDown("a worker has seen a higher epoch")
 		return
 	case RefusedIncarnation:
-		w.handleGone("another incarnation of the worker answered")
+		w.handleMisdirected(address)
 		return
 	}
 	w.failedSyncs++
