scheduler: the new address of a worker is stored before a task is started there

A worker that starts again at another address kept its former one in the stored list of used workers. A later leader that no longer finds its entry asks at the former address, takes the answer of another worker there (421) for the end of all runs, and starts their tasks again.

--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -107,7 +107,7 @@
 	slices.SortFunc(s.leaders, func(a, b *leaderState) int { return int(a.shard - b.shard) })
 	for id, address := range of.usedWorkers.Workers {
 		w := l.addWorker(id)
-		w.entry.Address, w.used = address, true
+		w.entry.Address, w.usedAddress, w.used = address, address, true
 		l.unreconciled[id] = true
 		if end, known := of.usedWorkers.RunsEndMS[id]; known && of.usedWorkers.Epoch == attempt.epoch-1 {
 			w.endPublished = true
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -257,6 +257,26 @@
 	}
 }
 
+// TestNewAddressIsStoredBeforeStart guards against a second run of a task after a change of
+// the leader: the next leader asks for runs at the stored address of a worker whose entry is
+// gone, and another worker answers at a former one.
+func TestNewAddressIsStoredBeforeStart(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	w := sim.leader().state.leaderOf(0).workers["w00"]
+	sim.store.commitTime = 100 * time.Millisecond
+	f.address = "10.0.0.2:w00"
+	f.restartAccepting()
+	sim.waitFor(10*time.Second, "starts at the new address", func() bool {
+		stored := sim.store.get(TableControl, KeyUsedWorkers).(UsedWorkersRow).Workers["w00"]
+		if w.acceptsStarts() && stored != w.entry.Address {
+			t.Fatalf("starts go to %s while %s is stored", w.entry.Address, stored)
+		}
+		return w.acceptsStarts() && stored == f.address
+	})
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
--- a/core/scheduler/usedworkers.go
+++ b/core/scheduler/usedworkers.go
@@ -42,7 +42,7 @@
 func (l *leaderState) usedWorkersStored(u UsedWorkersRow) {
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
-		_, w.used = u.Workers[id]
+		w.usedAddress, w.used = u.Workers[id]
 		_, w.endPublished = u.RunsEndMS[id]
 	}
 	l.schedule.requestPass()
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -17,6 +17,8 @@
 	listed bool // it is in the platform's list
 	used   bool // it is in the stored list of used workers; nothing is started on others
 
+	usedAddress string // its address in that list, where a later leader asks for its runs
+
 	listsRead          bool    // its lists have been read completely under this epoch
 	moreEnded          bool    // its last answer did not list all ends
 	firstAskedAt       Instant // when this leader sent its first sync; 0: not yet
@@ -140,6 +142,9 @@
 	// Entries are written with each heartbeat; only a changed one is worth a sync. Another start
 	// time does not prove a restart, since an entry may be older than the lists that are known.
 	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining || w.entry.Incarnation != e.Incarnation
+	if w.used && w.usedAddress != e.Address {
+		l.commits.usedWorkersChanged = true
+	}
 	w.entry, w.listed = e, true
 	if changed && l.isLoaded() {
 		w.syncSoon()
