scheduler: a stop is sent again to the next incarnation of a worker

A run went on although it should stop, for example after its job was cancelled: the former incarnation of the worker had acknowledged the stop, the next one had carried out the start, and an acknowledged stop is not repeated. A restart now forgets the acknowledgement of the runs that it leaves, and the answer to a stop that was sent before counts for nothing. Found by reading; TestStopReachesNextIncarnation fails without the rule (make proofs).

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -107,6 +107,10 @@
 			l.runLost(r, "the worker started again, confirmed before its last lists")
 			continue
 		}
+		r.stopAckedAt = 0 // the next incarnation has not seen the stop
+		if r.stopRequestedAt > 0 {
+			l.sendStop(r)
+		}
 		l.state.logDecision(Decision{
 			Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
 			Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -277,6 +277,28 @@
 	})
 }
 
+// TestStopReachesNextIncarnation guards against a run that goes on although it should stop: the
+// former incarnation has acknowledged the stop, and the next one has carried out the start.
+func TestStopReachesNextIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	f := sim.workers["w00"]
+	w := sim.leader().state.leaderOf(0).workers["w00"]
+	var start StartTask
+	f.onStart = func(e StartTask) startOutcome {
+		start = e
+		return startLost
+	}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(4*time.Second, "a stop that is acknowledged", func() bool {
+		runs := w.sortedRuns()
+		return len(runs) == 1 && runs[0].stopAckedAt > 0
+	})
+	f.restartAccepting()
+	f.executeStart(start)
+	sim.waitFor(4*time.Second, "the end of the run", func() bool { return f.highestRun[start.Task] == start.Run })
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -219,6 +219,8 @@
 		}
 		r.worker.observeAnswer(o, r)
 		switch {
+		case o.Outcome == structs.OutcomeDone && r.stopSentAt < r.worker.incarnationSeenAt:
+			l.sendStop(r) // the former incarnation may have answered
 		case o.Outcome == structs.OutcomeDone:
 			r.stopAckedAt = l.state.now
 			r.worker.syncSoon()
