scheduler: a restart of a worker does not account for the runs of former leaders

The next incarnation may have carried out a start of a former leader. The runs of such a worker counted as known as soon as the restart was noticed, before its lists were read, so that tasks held back for them could start a second time. They count as known once its lists are read or its lease has ended. TestFormerLeadersRunsAcrossRestart fails without the change (make proofs).

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -123,7 +123,6 @@
 	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
 	w.acks = ackState{inFlight: w.acks.inFlight}
 	w.sentLeaseEnd, w.clockMS = 0, 0
-	w.leader.markReconciled(w.id)
 	w.throttle = throttleState{speedLimit: fullSpeed}
 	w.failStreak, w.failedJobs = 0, nil
 	w.syncSoon()
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -299,6 +299,20 @@
 	sim.waitFor(4*time.Second, "the end of the run", func() bool { return f.highestRun[start.Task] == start.Run })
 }
 
+// TestFormerLeadersRunsAcrossRestart guards against a task that a new leader starts although the
+// next incarnation of a worker may run it: the former leader's start reached that one, and its
+// lists are not read yet.
+func TestFormerLeadersRunsAcrossRestart(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	l.unreconciled["w00"] = true
+	l.workers["w00"].handleRestart(1, shownByCommand)
+	if !l.unreconciled["w00"] {
+		t.Error("the runs of former leaders count as known before the lists of the next incarnation are read")
+	}
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
