scheduler: leases that the next incarnation granted by a former clock are bounded

A task ran twice on a worker that fell silent soon after a restart: lease ends are computed with the clock of the known incarnation. Two paths: the sync that shows the restart was itself meant for the former incarnation (randomized test), and a start reached the next one before its restart was noticed. Every restart now bounds the leases, also those of commands in flight, and the runs of a silent worker whose entry names an incarnation that has not answered wait for the longest lease. Price: none while the worker answers; up to 6 s more of waiting when it falls silent within 13 s of a restart. Left: a silent worker whose entry does not reach the store either.

--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -25,12 +25,21 @@
 	return time.Duration(float64(min(b.MaxLease, workerLease))/minClockRate) + b.StopTimeout + leaseEndSlack
 }
 
-// boundLeases records that a command that the next incarnation of the worker carries
-// out may have granted a lease there. Its end was computed with the clock of the former
-// incarnation, so that only the longest lease that a worker grants bounds it.
+// maxCommandTransit is the longest time from sending a command to its arrival: commands
+// that have no answer by then are abandoned.
+const maxCommandTransit = syncWait + syncTimeoutSlack
+
+// foreignLeaseDuration returns the longest real time for which runs can last under a lease
+// whose end was computed with the clock of another incarnation and sent now. Only the
+// longest lease that a worker grants bounds it.
+func foreignLeaseDuration(b Bounds) time.Duration {
+	return maxCommandTransit + time.Duration(float64(b.MaxLease)/minClockRate) + b.StopTimeout + leaseEndSlack
+}
+
+// boundLeases records that commands that were meant for the former incarnation of the
+// worker may have granted leases to this one, also after now.
 func (w *worker) boundLeases() {
-	b := w.leader.state.bounds
-	w.leasesEndBy = w.leader.state.now + time.Duration(float64(b.MaxLease)/minClockRate) + b.StopTimeout + leaseEndSlack
+	w.leasesEndBy = w.leader.state.now + foreignLeaseDuration(w.leader.state.bounds)
 }
 
 // clockLowerBound returns a lower bound of the time on the worker's clock, in ms.
@@ -45,7 +54,9 @@
 
 // recordLeaseEnd records a lease end that has been sent: the worker may run tasks
 // until then even if no answer comes back.
-func (w *worker) recordLeaseEnd(end int64) { w.sentLeaseEnd = max(w.sentLeaseEnd, end) }
+func (w *worker) recordLeaseEnd(end int64) {
+	w.sentLeaseEnd, w.leaseSentAt = max(w.sentLeaseEnd, end), w.leader.state.now
+}
 
 // allRunsEndedAt returns when all runs on the worker have certainly ended, unless
 // its lease is renewed before.
@@ -58,7 +69,17 @@
 		return max(end, w.leasesEndBy)
 	}
 	left := max(w.sentLeaseEnd-w.clockMS, 0)
-	return max(w.clockAt+time.Duration(float64(left)/minClockRate)*time.Millisecond+b.StopTimeout+leaseEndSlack, w.leasesEndBy)
+	end := max(w.clockAt+time.Duration(float64(left)/minClockRate)*time.Millisecond+b.StopTimeout+leaseEndSlack, w.leasesEndBy)
+	if w.nextIncarnationMayRun() {
+		end = max(end, w.leaseSentAt+foreignLeaseDuration(b))
+	}
+	return end
+}
+
+// nextIncarnationMayRun reports whether the list of workers shows an incarnation that has
+// not answered, which may have carried out starts.
+func (w *worker) nextIncarnationMayRun() bool {
+	return !w.entryIsCurrent() && w.hasRunOfUnknownIncarnation()
 }
 
 // awaitRunsEnd handles the end of all runs on a worker that does not answer at the time
@@ -100,6 +121,5 @@
 		w.removeRun(r)
 		w.handleRestart(o.Incarnation, shownByCommand)
 		w.addRun(r)
-		w.boundLeases()
 	}
 }
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -116,9 +116,7 @@
 			Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
 		})
 	}
-	if len(w.runs) > 0 {
-		w.boundLeases()
-	}
+	w.boundLeases()
 	w.incarnationSeenAt = l.state.now
 	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
 	w.acks = ackState{inFlight: w.acks.inFlight}
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -313,6 +313,45 @@
 	}
 }
 
+// TestLeaseOfSyncAcrossRestart guards against a second run of a task on a worker that falls
+// silent: the sync that showed its restart was meant for the former incarnation and granted
+// the longest lease, since the clock of the next one is behind.
+func TestLeaseOfSyncAcrossRestart(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	w, f := l.workers["w00"], sim.workers["w00"]
+	f.restartAccepting()
+	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.acceptsStarts() })
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
+	f.disconnected = true
+	sim.advance(2 * maxLeaseDuration(testBounds))
+}
+
+// TestLeaseOfUnnoticedRestart guards against the same when no answer has shown the restart: the
+// next incarnation carries a start out and falls silent, and only its entry is read.
+func TestLeaseOfUnnoticedRestart(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	f := sim.workers["w00"]
+	sim.advance(maxLeaseDuration(testBounds))
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	f.unlisted = true
+	f.restartAccepting()
+	f.onStart = func(StartTask) startOutcome {
+		sim.after(time.Millisecond, func() { f.disconnected = true })
+		return startAnswered
+	}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(4*time.Second, "start", func() bool { return f.starts == 1 })
+	sim.advance(10 * time.Millisecond)
+	f.writeEntry(false)
+	sim.advance(2 * maxLeaseDuration(testBounds))
+}
+
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
 // incarnation: the lists show the next one before its entry is read.
 func TestLabelsOfNextIncarnation(t *testing.T) {
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -29,6 +29,7 @@
 	clockMS            int64   // its clock at clockAt
 	clockAt            Instant
 	sentLeaseEnd       int64   // latest lease end that was sent, in ms on its clock
+	leaseSentAt        Instant // when a lease end was last sent
 	inheritedEnd       Instant // when all runs that former leaders started have certainly ended, as the last one stored it; 0: not known
 	endPublished       bool    // the stored list of used workers may tell when its runs end, so that no lease is granted
 	leasesEndBy        Instant // bound of leases that were sent to a former incarnation and granted by this one; 0: none
