scheduler: an answer of another worker ends only what was started at its address

A worker that returns to a former address within the time of a slow dial could have its runs at another address given up: another worker answers (421) at the address of the entry, and the leader took the worker for gone. Found by the randomized test of restarts. Such an answer now counts as no answer while a run of the worker was started elsewhere, so that its lease decides. TestAnswerAtReturnedAddress fails without the rule (make proofs).

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -73,7 +73,7 @@
 	n, _ := j.taskNumber(a.Task)
 	t := &j.tasks[n]
 	r := &run{
-		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, phase: phaseRunning, startSentAt: l.state.now,
+		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, address: w.entry.Address, phase: phaseRunning, startSentAt: l.state.now,
 		confirmedAt: sent, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint,
 	}
 	w.addRun(r)
@@ -147,14 +147,16 @@
 	return r.stopAckedAt > 0 && r.stopAckedAt <= w.answeredSyncSentAt
 }
 
-// handleMisdirected handles the answer of another worker at an address: the worker that was
-// there has ended. It may have started again at another address meanwhile.
-func (w *worker) handleMisdirected(address string) {
-	if address != w.entry.Address {
-		w.syncSoon()
-		return
+// handleMisdirected handles the answer of another worker at an address: what ran there has
+// ended. The worker may have started again at another address, and may run there what was
+// sent to that one. It reports whether the worker is gone.
+func (w *worker) handleMisdirected(address string) bool {
+	elsewhere := func(r *run) bool { return r.address != address }
+	if address != w.entry.Address || slices.ContainsFunc(w.sortedRuns(), elsewhere) {
+		return false
 	}
 	w.handleGone("another incarnation of the worker answered")
+	return true
 }
 
 // handleGone handles a worker whose incarnation has ended.
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -247,10 +247,35 @@
 	f.address = "10.0.0.2:w00"
 	f.restartAccepting()
 	sim.waitFor(5*time.Second, "the entry with the new address", func() bool { return w.entry.Address == f.address && w.incarnation == f.incarnation })
+	misdirected := WorkerSynced{Outcome: structs.OutcomeNotDone, Refused: RefusedIncarnation}
+	if w.handleSyncAnswer(misdirected, sync, sim.now); l.workers["w00"] != w {
+		t.Fatal("the worker counts as gone")
+	}
+	sim.waitFor(2*time.Second, "an answer at the new address", w.acceptsStarts)
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 2*time.Second, 1000))
+	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
+	w.handleSyncAnswer(misdirected, sync, sim.now)
+	sim.waitFor(6*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
+	if n := f.starts + sim.workers["w01"].starts; n != 1 {
+		t.Errorf("%d starts of one task, want 1", n)
+	}
+}
+
+// TestAnswerAtReturnedAddress guards against the same when the entry names the address at which
+// another worker answers, and a run was started at another one before.
+func TestAnswerAtReturnedAddress(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	w, f := l.workers["w00"], sim.workers["w00"]
 	l.workers["w01"].pauseStarts(200 * time.Millisecond)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 2*time.Second, 1000))
 	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
-	w.handleSyncAnswer(WorkerSynced{Outcome: structs.OutcomeNotDone, Refused: RefusedIncarnation}, sync, sim.now)
+	address := f.address
+	w.entry.Address = "10.0.0.2:w00"
+	w.handleSyncAnswer(WorkerSynced{Outcome: structs.OutcomeNotDone, Refused: RefusedIncarnation}, SyncWorker{WorkerCommand: l.newCommand(w)}, sim.now)
+	w.entry.Address = address
 	sim.waitFor(6*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	if n := f.starts + sim.workers["w01"].starts; n != 1 {
 		t.Errorf("%d starts of one task, want 1", n)
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -27,6 +27,8 @@
 	worker *worker
 	id     structs.Run
 
+	address string // of the worker when the start was sent, or when the run was adopted
+
 	phase           phase
 	startSentAt     Instant
 	startCounted    bool    // the start counts as outstanding in the leader's start window
@@ -87,7 +89,7 @@
 	t := j.taskAt(ref)
 	n, _ := j.taskNumber(ref)
 	r := &run{
-		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
+		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, address: w.entry.Address, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
 		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n],
 	}
 	j.setRun(ref, r, l.state.now)
@@ -152,7 +154,9 @@
 		l.stepDown("a worker has seen a higher epoch")
 		return
 	case RefusedIncarnation:
-		w.handleMisdirected(address)
+		if !w.handleMisdirected(address) {
+			w.syncSoon()
+		}
 	case RefusedCapacity, RefusedLeaseExpired:
 		w.pauseStarts(refusedPause)
 		w.syncSoon()
@@ -226,8 +230,7 @@
 			r.worker.syncSoon()
 		case o.Refused == RefusedEpoch:
 			l.stepDown("a worker has seen a higher epoch")
-		case o.Refused == RefusedIncarnation && e.Address == r.worker.entry.Address:
-			r.worker.handleMisdirected(e.Address)
+		case o.Refused == RefusedIncarnation && r.worker.handleMisdirected(e.Address):
 		default:
 			l.after(stopRetryInterval, func() { l.sendStop(r) })
 		}
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -165,8 +165,9 @@
 		l.stepDown("a worker has seen a higher epoch")
 		return
 	case RefusedIncarnation:
-		w.handleMisdirected(address)
-		return
+		if w.handleMisdirected(address) {
+			return
+		}
 	}
 	w.failedSyncs++
 	if w.failedSyncs == 1 {
