scheduler: a randomized test of restarts of workers

TestRestartInvariants draws workers that restart under their IDs at once or after a time, with any clock and start time, with late, early or missing entries and other addresses, while calls to them are delayed or lost in either direction and the leader is killed. Its oracle also checks that an end that a worker discards is not followed by a start.

--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -44,6 +44,13 @@
 	// to syncs always do.
 	commandsNameIncarnation bool
 
+	down         downBehavior // how it answers calls while it is down, if there is a network
+	resetsCalls  bool         // calls in flight at a crash fail at once
+	calls        []func()     // break the calls that have reached this incarnation
+	keepsCursor  bool         // an acknowledgement also discards later ends with such numbers
+	ackedThrough uint64       // highest acknowledged number, if it keeps it
+	endTimes     map[uint64]time.Duration
+
 	// onStart decides the outcome of a start command; nil: startAnswered.
 	onStart func(StartTask) startOutcome
 	gauge   func(*fakeRun) int64 // the gauge of a run
@@ -95,6 +102,7 @@
 func (f *fakeWorker) boot() {
 	f.generation++
 	f.alive, f.incarnation, f.startedAt, f.epoch, f.leaseEnd = true, f.sim.wall()+int64(f.generation)-f.clockBehind.Milliseconds(), f.sim.now, 0, 0
+	f.calls, f.ackedThrough, f.endTimes = nil, 0, make(map[uint64]time.Duration)
 	f.runs, f.highestRun, f.endedRuns, f.lastEnd, f.lastEndAtExpiry, f.waitingSyncs = make(map[runKey]*fakeRun), make(map[structs.TaskRef]structs.Run), nil, 0, 0, nil
 	f.clockOrigin = rand.New(rand.NewPCG(uint64(f.generation), uint64(len(f.id)))).Int64N(maxFakeClockOrigin.Milliseconds())
 	if !f.unlisted {
@@ -142,6 +150,12 @@
 	f.alive = false
 	f.generation++
 	f.runs = make(map[runKey]*fakeRun)
+	if f.resetsCalls {
+		for _, reset := range f.calls {
+			reset()
+		}
+	}
+	f.calls = nil
 }
 
 // commandIncarnation returns the incarnation in answers to commands; 0: not named.
@@ -186,7 +200,7 @@
 // perform executes a command and sends the answer.
 func (f *fakeWorker) perform(h fakeConnection, id EffectID, execute func() CommandDone) {
 	f.sim.after(workerDelay, func() {
-		if !f.alive || f.disconnected {
+		if !f.hears(h) {
 			h.deliverAfter(commandTimeout, CommandDone{Effect: id, Outcome: structs.OutcomeUnknown})
 			return
 		}
@@ -197,10 +211,15 @@
 			h.deliverAfter(commandTimeout, o)
 			return
 		}
-		h.deliverAfter(workerDelay, o)
+		h.answer(o)
 	})
 }
 
+// hears reports whether a call reaches the worker, which may have another address now.
+func (f *fakeWorker) hears(h fakeConnection) bool {
+	return f.alive && !f.disconnected && (h.fate.address == "" || h.fate.address == f.address)
+}
+
 func (f *fakeWorker) startTask(e StartTask) CommandDone {
 	outcome := startAnswered
 	if f.onStart != nil {
@@ -297,7 +316,11 @@
 	delete(f.runs, runKey{r.start.Task, r.start.Run})
 	f.lastEnd++
 	f.highestRun[r.start.Task] = max(f.highestRun[r.start.Task], r.start.Run)
+	f.endTimes[f.lastEnd] = f.sim.now
 	f.endedRuns = append(f.endedRuns, structs.EndedRun{Number: f.lastEnd, Task: r.start.Task, Run: r.start.Run, End: how, Checkpoint: checkpoint})
+	if f.keepsCursor {
+		f.discardEnds(f.ackedThrough)
+	}
 	waiting := f.waitingSyncs
 	f.waitingSyncs = nil
 	for _, answer := range waiting {
@@ -331,26 +354,20 @@
 		if f.syncTransit > 0 {
 			generation = f.generation
 		}
-		if !f.alive || f.disconnected || f.generation != generation {
+		if !f.hears(h) || f.generation != generation {
 			h.deliverAfter(e.Timeout, unanswered)
 			return
 		}
 		if e.Epoch < f.epoch {
-			h.deliverAfter(workerDelay, WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeNotDone, Refused: RefusedEpoch})
+			h.answer(WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeNotDone, Refused: RefusedEpoch})
 			return
 		}
 		f.epoch = e.Epoch
 		if e.LeaseEndMS > 0 {
 			f.grantLease(e.LeaseEndMS)
 		}
-		f.endedRuns = slices.DeleteFunc(f.endedRuns, func(n structs.EndedRun) bool {
-			// The oracle ignores ends that are acknowledged after the lease expired:
-			// the leader may have restarted the task by then.
-			if n.Number <= e.AckedThrough && n.Number > f.lastEndAtExpiry && n.End == structs.EndDone {
-				f.sim.oracle.done[n.Task] = true
-			}
-			return n.Number <= e.AckedThrough
-		})
+		f.ackedThrough = max(f.ackedThrough, e.AckedThrough)
+		f.discardEnds(e.AckedThrough)
 		answered := false
 		answer := func() {
 			if answered {
@@ -361,7 +378,7 @@
 				h.deliverAfter(e.Timeout, unanswered)
 				return
 			}
-			h.deliverAfter(workerDelay, f.syncResult(e.ID))
+			h.answer(f.syncResult(e.ID))
 		}
 		if e.Wait == 0 || len(f.endedRuns) > 0 {
 			answer()
@@ -372,6 +389,18 @@
 	})
 }
 
+// discardEnds discards acknowledged ends.
+func (f *fakeWorker) discardEnds(through uint64) {
+	f.endedRuns = slices.DeleteFunc(f.endedRuns, func(n structs.EndedRun) bool {
+		// The oracle ignores ends that are acknowledged after the lease expired:
+		// the leader may have restarted the task by then.
+		if n.Number <= through && n.Number > f.lastEndAtExpiry && n.End == structs.EndDone {
+			f.sim.oracle.acknowledged(f, n)
+		}
+		return n.Number <= through
+	})
+}
+
 func (f *fakeWorker) syncResult(id EffectID) WorkerSynced {
 	listed := f.endedRuns[:min(len(f.endedRuns), fakeMaxListedEnds)]
 	result := WorkerSynced{
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -32,6 +32,7 @@
 	startsNotSent    int                               // starts that timed out in a host's send queue
 	decisions        []string                          // of all hosts, in order
 	checkpointedWork map[structs.TaskRef]time.Duration // work saved by the last checkpoint of each task
+	network          *fakeNetwork                      // between hosts and workers; nil: each call takes workerDelay each way
 }
 
 type simEvent struct {
@@ -216,6 +217,7 @@
 type fakeConnection struct {
 	*fakeHost
 	incarnation int
+	fate        callFate // of the call, if there is a network
 }
 
 // deliverAfter delivers an event after d, unless the host has been started again
@@ -228,7 +230,16 @@
 	})
 }
 
-func (h *fakeHost) execute(e Effect) { fakeConnection{h, h.incarnation}.execute(e) }
+// answer delivers the answer of a worker.
+func (c fakeConnection) answer(body EventBody) {
+	if !c.fate.answerLost {
+		c.deliverAfter(workerDelay+c.fate.answerDelay, body)
+	}
+}
+
+func (h *fakeHost) execute(e Effect) {
+	fakeConnection{fakeHost: h, incarnation: h.incarnation}.execute(e)
+}
 
 func (h fakeConnection) execute(e Effect) {
 	switch e := e.(type) {
@@ -239,15 +250,15 @@
 	case WatchRows:
 		h.sim.store.watch(h, e)
 	case SyncWorker:
-		h.sendCommand(e.WorkerCommand, WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) { f.syncLists(h, e) })
+		h.sendCommand(e.WorkerCommand, WorkerSynced{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) { f.syncLists(h, e) })
 	case StartTask:
 		h.sendStart(e)
 	case StopTask:
-		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
+		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.stopTask(e) })
 		})
 	case ThrottleTask:
-		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
+		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.throttleTask(e) })
 		})
 	case AskAdvice:
@@ -265,7 +276,7 @@
 // longer than its timeout.
 func (h fakeConnection) sendStart(e StartTask) {
 	send := func() {
-		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(f *fakeWorker) {
+		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.startTask(e) })
 		})
 	}
@@ -288,17 +299,13 @@
 
 // sendCommand calls perform with the worker of a command, or delivers unknown if the
 // worker cannot be reached.
-func (h fakeConnection) sendCommand(o WorkerCommand, unknown EventBody, perform func(*fakeWorker)) {
+func (h fakeConnection) sendCommand(o WorkerCommand, unknown EventBody, perform func(fakeConnection, *fakeWorker)) {
 	if h.sim.now-h.started > o.NotAfter {
-		switch u := unknown.(type) {
-		case WorkerSynced:
-			u.Outcome = structs.OutcomeNotDone
-			unknown = u
-		case CommandDone:
-			u.Outcome = structs.OutcomeNotDone
-			unknown = u
-		}
-		h.deliverAfter(0, unknown)
+		h.deliverAfter(0, notDone(unknown, RefusedNone))
+		return
+	}
+	if h.sim.network != nil {
+		h.sim.network.send(h, o, unknown, perform)
 		return
 	}
 	f := h.sim.workerAt(o.Address)
@@ -309,7 +316,20 @@
 	if f.id != o.Worker {
 		h.sim.t.Fatalf("command for worker %s sent to worker %s", o.Worker, f.id)
 	}
-	perform(f)
+	perform(h, f)
+}
+
+// notDone returns the outcome of a command that was refused or not sent.
+func notDone(outcome EventBody, refused Refusal) EventBody {
+	switch o := outcome.(type) {
+	case WorkerSynced:
+		o.Outcome, o.Refused = structs.OutcomeNotDone, refused
+		return o
+	case CommandDone:
+		o.Outcome, o.Refused = structs.OutcomeNotDone, refused
+		return o
+	}
+	return outcome
 }
 
 // advise answers as the advice service does. Concurrent requests fail the test.
@@ -329,13 +349,16 @@
 	h.deliverAfter(100*time.Millisecond, result)
 }
 
+// workerAt returns the worker with an address, or nil. A worker that is up hides one that
+// had the address before.
 func (sim *simulation) workerAt(address string) *fakeWorker {
+	var found *fakeWorker
 	for _, f := range sim.workers {
-		if f.address == address {
-			return f
+		if f.address == address && (found == nil || f.alive || !found.alive && f.id < found.id) {
+			found = f
 		}
 	}
-	return nil
+	return found
 }
 
 // submit submits a job at a host and returns the request.
@@ -448,9 +471,23 @@
 type oracle struct {
 	sim  *simulation
 	done map[structs.TaskRef]bool // tasks whose successful end was acknowledged
+	// lastStart is when each task was last started.
+	lastStart map[structs.TaskRef]time.Duration
+}
+
+func (o *oracle) init(sim *simulation) {
+	o.sim, o.done, o.lastStart = sim, make(map[structs.TaskRef]bool), make(map[structs.TaskRef]time.Duration)
 }
 
-func (o *oracle) init(sim *simulation) { o.sim, o.done = sim, make(map[structs.TaskRef]bool) }
+// acknowledged checks a successful end that a worker is about to discard, with no lapse of
+// its lease since.
+func (o *oracle) acknowledged(f *fakeWorker, n structs.EndedRun) {
+	o.sim.t.Helper()
+	if ended := f.endTimes[n.Number]; o.lastStart[n.Task] > ended {
+		o.sim.t.Fatalf("%v: the end of %s on %s at %v is acknowledged, and it was started again at %v", o.sim.now, taskName(n.Task), f.id, ended, o.lastStart[n.Task])
+	}
+	o.done[n.Task] = true
+}
 
 // started checks a start that a worker is about to carry out.
 func (o *oracle) started(f *fakeWorker, e StartTask) {
@@ -466,6 +503,7 @@
 			}
 		}
 	}
+	o.lastStart[e.Task] = o.sim.now
 	plan, _ := o.sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
 	shard := plan.Racks[f.rack]
 	p, _ := o.sim.store.rows[fakeRowID{TableProgress, shard.partition(), string(e.Task.Job)}].Value.(ProgressRow)
