scheduler: a claimed job of which nothing has run moves to a shard with room

LOST: an accepted job stayed queued for good although other shards were empty. Its leader had claimed it and ordered a start that was refused or lost, and then the shard had no worker for it any more; only jobs that no leader had claimed could move. Found by the mixes of restarts with real processes (three shards, workers that come back of another kind). A claimed job now moves while no run of it exists and none has had an effect; after a takeover, once the runs of former leaders are accounted for. Left: jobs with tasks done stay in their shard.

--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -25,7 +25,8 @@
 // leader of this shard ever starts a task of the job from then on. The second names
 // the new shard in the job row, if the row has not changed, and makes its leader see
 // the job. A leader that finds a job marked as moving repeats the second. Only jobs
-// that no leader has claimed move, so that no run of them exists anywhere.
+// move of which no run exists anywhere and none has had an effect, so that the other
+// shard starts them from the beginning.
 
 // moveLoop gives jobs that find no room, or tasks of them, to shards with room.
 func (l *leaderState) moveLoop() {
@@ -46,7 +47,7 @@
 			}
 			continue
 		}
-		if j.ClaimEpoch > 0 || now-j.admittedAt < moveDelay || len(j.MovedFrom) >= maxMoves {
+		if !l.isUntouched(j) || now-max(j.admittedAt, j.lastRunEndedAt) < moveDelay || len(j.MovedFrom) >= maxMoves {
 			continue
 		}
 		if target, ok := l.shardWithRoom(j, room); ok {
@@ -56,6 +57,16 @@
 	}
 }
 
+// isUntouched reports whether no run of a job exists and none has had an effect. Of a job that
+// a former leader claimed, a run may exist until the workers that it used are reconciled.
+func (l *leaderState) isUntouched(j *job) bool {
+	if j.ClaimEpoch == 0 {
+		return true
+	}
+	reconciled := !j.inherited || len(l.unreconciled) == 0
+	return reconciled && j.activeRuns == 0 && len(j.Done) == 0 && len(j.Failures) == 0 && len(j.Checkpoints) == 0 && len(j.Given) == 0
+}
+
 // otherLoads returns a copy of the recent loads of the other shards.
 func (l *leaderState) otherLoads() map[ShardID]map[string]ServiceLoad {
 	v := &l.state.shards
--- a/core/scheduler/shards_test.go
+++ b/core/scheduler/shards_test.go
@@ -174,6 +174,29 @@
 	}
 }
 
+// TestClaimedJobMovesToShardWithRoom guards against a job that waits for good in a shard that
+// has lost its workers, because its leader has claimed the job and ordered a start.
+func TestClaimedJobMovesToShardWithRoom(t *testing.T) {
+	sim := newShardedSimulation(t, 2, 4, 2)
+	sim.waitForLeader()
+	plan := sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
+	var lost []*fakeWorker
+	for _, f := range sim.workers {
+		if plan.Racks[f.rack] == 0 {
+			lost = append(lost, f)
+			f.onStart = func(StartTask) startOutcome {
+				for _, f := range lost {
+					f.crash()
+					sim.store.set(TableWorkers, string(f.id), nil)
+				}
+				return startLost
+			}
+		}
+	}
+	sim.addJob(jobB, singleStepJob(1, time.Second, 1000), 0)
+	sim.waitFor(maxLeaseDuration(testBounds)+5*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
+}
+
 // TestMoveSurvivesLossOfLeader guards against a job without a shard, or with two, when
 // the leader is lost between the two transactions of a move, or when the second has no
 // answer and is performed late while the former shard has room again.
