scheduler: a leader releases the lead once no start is on its way

Two runs of one task after a planned stop: a start was still in a slow dial when its leader released the lead. The next leader read the worker's lists and started the task elsewhere; the worker restarted, forgot the epoch and carried the start out. A killed leader's lease covers it already.

--- a/core/scheduler/commit.go
+++ b/core/scheduler/commit.go
@@ -126,8 +126,9 @@
 		c.nextBatch++
 	}
 	lease := LeaseRow{Instance: l.state.self.Instance, Sequence: c.sequence, ExpiresMS: l.storeNow() + (leaderLease + leaderLeaseMargin).Milliseconds()}
-	if c.releaseReason != "" {
-		lease.ExpiresMS = 0
+	releaseReason := ""
+	if l.canRelease() {
+		releaseReason, lease.ExpiresMS = c.releaseReason, 0
 	}
 	partition := l.shard.partition()
 	var writes []Write
@@ -135,7 +136,6 @@
 		writes = append(writes, item.write)
 	}
 	writes = append(writes, Write{TableControl, partition, KeyLease, lease})
-	releaseReason := c.releaseReason
 	l.state.commit(Commit{
 		Conditions: []Condition{{TableControl, partition, KeyLeader, l.leaderVersion}, {TableControl, partition, KeyLease, c.leaseVersion}},
 		Writes:     writes,
@@ -208,7 +208,7 @@
 	for _, id := range l.workerIDs {
 		l.workers[id].advanceAck()
 	}
-	if len(c.dirtyJobs) > 0 || c.releaseReason != "" {
+	if len(c.dirtyJobs) > 0 || l.canRelease() {
 		l.flush()
 	}
 }
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -225,6 +225,12 @@
 	l.flush()
 }
 
+// canRelease reports whether the next commit may release the lead: a start that is still on
+// its way could reach a worker that does not know the next leader's epoch any more.
+func (l *leaderState) canRelease() bool {
+	return l.commits.releaseReason != "" && l.starts.inFlight == 0
+}
+
 // stepDown drops the leader's state.
 func (l *leaderState) stepDown(reason string) {
 	if l.steppedDown {
--- /dev/null
+++ b/core/scheduler/restart_lease_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// swapWorkers restarts two workers with each other's address.
+func (sim *simulation) swapWorkers(a, b *fakeWorker) {
+	formerA, formerB := a.clock(), b.clock()
+	a.crash()
+	b.crash()
+	a.address, b.address = b.address, a.address
+	a.boot()
+	b.boot()
+	a.clockOrigin, b.clockOrigin = formerA/2, formerB/2
+}
+
+// TestMisdirectedAnswerAfterTakeover guards against a second run of a task by a new leader
+// that knows only a former address of its worker, where another worker answers.
+func TestMisdirectedAnswerAfterTakeover(t *testing.T) {
+	sim := newSimulation(t, 2, 2)
+	sim.waitForLeader()
+	h := sim.leader()
+	l := h.state.leaderOf(0)
+	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return callFate{} }}
+	f := sim.workers["w00"]
+	sim.swapWorkers(f, sim.workers["w01"])
+	sim.waitFor(time.Second, "the lists of the next incarnations", func() bool {
+		return l.workers["w00"].incarnation == f.incarnation && l.workers["w01"].incarnation == sim.workers["w01"].incarnation
+	})
+	l.workers["w01"].pauseStarts(time.Second)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(time.Second, "the start", func() bool { return f.starts == 1 })
+	sim.store.set(TableWorkers, "w00", nil)
+	h.deliver(StopRequested{})
+	sim.advance(5 * time.Second)
+}
+
+// TestDelayedStartOfFormerLeader guards against a second run of a task whose start was on
+// its way when its leader released the lead: after a restart, the worker knows neither that
+// leader's successor nor its epoch, and carries the start out.
+func TestDelayedStartOfFormerLeader(t *testing.T) {
+	sim := newSimulation(t, 2, 2)
+	sim.waitForLeader()
+	h := sim.leader()
+	l := h.state.leaderOf(0)
+	l.workers["w01"].pauseStarts(time.Second)
+	f := sim.workers["w00"]
+	var fate callFate
+	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return fate }}
+	fate.requestDelay = 1300 * time.Millisecond
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.advance(20 * time.Millisecond)
+	fate.requestDelay = 0
+	if len(l.workers["w00"].runs) != 1 {
+		t.Fatalf("%d starts on their way, want 1", len(l.workers["w00"].runs))
+	}
+	h.deliver(StopRequested{})
+	sim.after(800*time.Millisecond, f.restartAccepting)
+	sim.waitFor(3*time.Second, "the next leader", func() bool { return sim.leader() != nil && sim.leader() != h })
+	sim.advance(3 * time.Second)
+	if n := f.starts + sim.workers["w01"].starts; n != 1 {
+		t.Errorf("%d starts of one task, want 1", n)
+	}
+}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -96,6 +96,7 @@
 	t.lastRun = max(t.lastRun, id)
 	w.addRun(r)
 	l.starts.sent(r, l.state.now)
+	l.starts.inFlight++
 	leaseEnd := w.newLeaseEnd(l.state.now, l.state.bounds)
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
@@ -118,6 +119,10 @@
 // startAnswered handles the outcome of a start that was sent to an address.
 func (l *leaderState) startAnswered(r *run, o CommandDone, address string) {
 	w := r.worker
+	l.starts.inFlight--
+	if l.canRelease() {
+		l.flush()
+	}
 	if l.starts.answered(r, o, l.state.now) {
 		l.schedule.requestPass()
 	}
