scheduler: leases by a former clock are bounded for later leaders and by the answer to a start

A start that an unnoticed incarnation carried out is answered with a clock behind the known one: the leader now bounds the leases of that worker as after a restart.

--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -109,6 +109,10 @@
 		w := l.addWorker(id)
 		w.entry.Address, w.usedAddress, w.used = address, address, true
 		l.unreconciled[id] = true
+		if end, known := of.usedWorkers.LeasesEndMS[id]; known {
+			w.leasesEndBy = max(s.now+time.Duration(end-storeMS)*time.Millisecond, 0)
+			w.storedLeasesEndBy = w.leasesEndBy
+		}
 		if end, known := of.usedWorkers.RunsEndMS[id]; known && of.usedWorkers.Epoch == attempt.epoch-1 {
 			w.endPublished = true
 			w.inheritedEnd = max(s.now+time.Duration(end-storeMS)*time.Millisecond, 1)
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -40,6 +40,12 @@
 // worker may have granted leases to this one, also after now.
 func (w *worker) boundLeases() {
 	w.leasesEndBy = w.leader.state.now + foreignLeaseDuration(w.leader.state.bounds)
+	w.leader.commits.usedWorkersChanged = true
+}
+
+// leasesStored reports whether a later leader learns of the leases that boundLeases bounds.
+func (w *worker) leasesStored() bool {
+	return w.storedLeasesEndBy >= w.leasesEndBy || w.leader.state.now >= w.leasesEndBy
 }
 
 // clockLowerBound returns a lower bound of the time on the worker's clock, in ms.
--- a/core/scheduler/restart_lease_test.go
+++ b/core/scheduler/restart_lease_test.go
@@ -5,6 +5,62 @@
 	"time"
 )
 
+// TestLeaseOfStartByUnknownIncarnation guards against a second run of a task that the next
+// incarnation of an idle worker started before the leader knew of the restart: the lease
+// that it granted may be the longest one.
+func TestLeaseOfStartByUnknownIncarnation(t *testing.T) {
+	startOnUnknownIncarnation(t, startAnswered)
+}
+
+// TestLeaseOfUnansweredStartByUnknownIncarnation guards against the same without an answer,
+// whose clock would show the restart.
+func TestLeaseOfUnansweredStartByUnknownIncarnation(t *testing.T) {
+	startOnUnknownIncarnation(t, startUnanswered)
+}
+
+// startOnUnknownIncarnation starts a task on the next incarnation of an idle worker, which
+// then falls silent. No entry of it is read.
+func startOnUnknownIncarnation(t *testing.T, outcome startOutcome) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	l.workers["w01"].pauseStarts(time.Second)
+	f := sim.workers["w00"]
+	f.onStart = func(StartTask) startOutcome {
+		sim.after(2*workerDelay, func() { f.disconnected = true })
+		return outcome
+	}
+	f.unlisted = true
+	f.restartAccepting()
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(time.Second, "the start", func() bool { return f.starts == 1 })
+	sim.advance(testBounds.MaxLease)
+}
+
+// TestLeaseAcrossRestartAndTakeover guards against a second run of a task by a new leader
+// that takes leases of the former one to be shorter than those that a worker granted after
+// a restart.
+func TestLeaseAcrossRestartAndTakeover(t *testing.T) {
+	for _, noticed := range []bool{true, false} {
+		sim := newSimulation(t, 2, 2)
+		sim.waitForLeader()
+		h := sim.leader()
+		l := h.state.leaderOf(0)
+		l.workers["w01"].pauseStarts(time.Second)
+		f := sim.workers["w00"]
+		f.unlisted = !noticed
+		f.restartAccepting()
+		if noticed {
+			sim.waitFor(time.Second, "the lists of the next incarnation", func() bool { return l.workers["w00"].incarnation == f.incarnation })
+		}
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+		sim.waitFor(time.Second, "the start", func() bool { return f.starts == 1 })
+		f.disconnected = true
+		h.deliver(StopRequested{})
+		sim.advance(testBounds.MaxLease)
+	}
+}
+
 // swapWorkers restarts two workers with each other's address.
 func (sim *simulation) swapWorkers(a, b *fakeWorker) {
 	formerA, formerB := a.clock(), b.clock()
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -153,7 +153,10 @@
 	// ended, on the store's clock, unless a leader renews their leases. No leader does
 	// before it has removed the time here.
 	RunsEndMS map[structs.WorkerID]int64 `json:"runs_end_ms,omitempty"`
-	Epoch     structs.Epoch              `json:"epoch,omitempty"` // of the leader that wrote the row
+	// LeasesEndMS holds, for workers that have restarted, by when the leases have ended
+	// that were granted by the clock of another incarnation, on the store's clock.
+	LeasesEndMS map[structs.WorkerID]int64 `json:"leases_end_ms,omitempty"`
+	Epoch       structs.Epoch              `json:"epoch,omitempty"` // of the leader that wrote the row
 }
 
 // PressuresRow holds the interference estimates of leaders, so that a new leader
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -161,9 +161,9 @@
 	return n
 }
 
-// usedWorkerBytes includes the end of the runs of a worker that does not answer.
+// usedWorkerBytes includes the ends of runs and leases that the row holds for some workers.
 func usedWorkerBytes(id structs.WorkerID, address string) int {
-	return workerEntryFrame + 2*textBytes(string(id)) + textBytes(address) + numberBytes
+	return workerEntryFrame + 3*textBytes(string(id)) + textBytes(address) + 2*numberBytes
 }
 
 func (p PressuresRow) bytes() int {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -101,7 +101,13 @@
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
 	e.Ticket, _ = l.ticketFor(w, stepKeyOf(ref), l.state.config.policyOf(&j.Job))
-	e.ID = l.expectAnswer(func(o CommandDone) { l.startAnswered(r, o, e.Address) })
+	clock := w.clockLowerBound(l.state.now)
+	e.ID = l.expectAnswer(func(o CommandDone) {
+		if o.Outcome == structs.OutcomeDone && o.ClockMS < clock {
+			w.boundLeases() // the lease ends by the clock of another incarnation
+		}
+		l.startAnswered(r, o, e.Address)
+	})
 	l.state.emit(e)
 	l.state.logDecision(Decision{Part: "task", Action: "start ordered", Subject: taskName(ref), Where: string(w.id), Number: uint64(id), Age: l.state.now - w.answeredSyncSentAt})
 }
--- a/core/scheduler/startwindow.go
+++ b/core/scheduler/startwindow.go
@@ -38,7 +38,7 @@
 	slowStart   bool // no answer has been late
 	decreasedAt Instant
 	outstanding int
-	inFlight    int // starts that have no outcome yet, also those that are no longer counted
+	inFlight    int    // starts that have no outcome yet, also those that are no longer counted
 	pending     []*run // counted starts by time of sending, and some that are no longer counted
 }
 
--- a/core/scheduler/usedworkers.go
+++ b/core/scheduler/usedworkers.go
@@ -7,7 +7,10 @@
 // usedWorkers returns the workers on which runs may be started or may still exist. Those
 // that the row has no room for are not used.
 func (l *leaderState) usedWorkers() UsedWorkersRow {
-	u := UsedWorkersRow{Workers: make(map[structs.WorkerID]string), RunsEndMS: make(map[structs.WorkerID]int64), Epoch: l.epoch}
+	u := UsedWorkersRow{
+		Workers: make(map[structs.WorkerID]string), RunsEndMS: make(map[structs.WorkerID]int64),
+		LeasesEndMS: make(map[structs.WorkerID]int64), Epoch: l.epoch,
+	}
 	size := u.bytes()
 	add := func(w *worker) {
 		size += usedWorkerBytes(w.id, w.entry.Address)
@@ -19,6 +22,9 @@
 		if w.failedSyncs > 0 {
 			u.RunsEndMS[w.id] = l.storeTimeOf(w.allRunsEndedAt(l.state.bounds))
 		}
+		if w.leasesEndBy > l.state.now {
+			u.LeasesEndMS[w.id] = l.storeTimeOf(w.leasesEndBy)
+		}
 	}
 	for _, used := range []bool{true, false} { // those that may have runs come first
 		for _, id := range l.workerIDs {
@@ -30,9 +36,12 @@
 	return u
 }
 
-// usedWorkersSent records which ends of runs a commit contains: the store may perform it
-// without an answer.
+// usedWorkersSent records which ends of runs and leases a commit contains: the store may
+// perform it without an answer.
 func (l *leaderState) usedWorkersSent(u UsedWorkersRow) {
+	for _, id := range l.workerIDs {
+		l.workers[id].sentLeasesEndBy = l.workers[id].leasesEndBy
+	}
 	for id := range u.RunsEndMS {
 		l.workers[id].endPublished = true
 	}
@@ -44,6 +53,9 @@
 		w := l.workers[id]
 		w.usedAddress, w.used = u.Workers[id]
 		_, w.endPublished = u.RunsEndMS[id]
+		if w.used {
+			w.storedLeasesEndBy = w.sentLeasesEndBy
+		}
 	}
 	l.schedule.requestPass()
 }
