--- /dev/null
+++ b/cli/internal/logread/logread_test.go
@@ -0,0 +1,55 @@
+package logread
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/tamarackstep/tamarackstep/cli/internal/logline"
+)
+
+const (
+	started = `time=2026-10-02T03:00:01Z level=INFO msg="host: started" subject=front-a` + "\n"
+	later   = `time=2026-10-02T03:00:03Z level=INFO msg="task: start ordered" subject=x` + "\n"
+	other   = `time=2026-10-02T03:00:02Z level=INFO msg="host: started" subject=front-b` + "\n"
+)
+
+// TestVisit guards against lines out of order over the files, a wrong host, and a
+// file or line that cannot be read and hides the others.
+func TestVisit(t *testing.T) {
+	folder := t.TempDir()
+	names := []string{filepath.Join(folder, "1.log"), filepath.Join(folder, "2.log"), filepath.Join(folder, "none.log"), StandardInput}
+	long := strings.Repeat("x", 3*bufferBytes) + "\n"
+	for i, text := range []string{started + long + "\n" + later, other + "torn\n"} {
+		if err := os.WriteFile(names[i], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set, err := Open(names, strings.NewReader(" 7.5 front-c "+later))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // a second visit reads the same
+		var order []string
+		reports := set.Visit(func(e logline.Event) { order = append(order, e.Writer+" "+e.Action) })
+		want := "front-a started, front-b started, front-c start ordered, front-a start ordered"
+		if got := strings.Join(order, ", "); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if r := reports[0]; r.Lines != 2 || r.Bad != 1 || r.First[0] != (BadLine{2, errLineTooLong.Error()}) {
+			t.Errorf("file with a long line: %+v", r)
+		}
+		if r := reports[1]; r.Lines != 1 || r.Bad != 1 || r.First[0].Number != 2 {
+			t.Errorf("file with a torn line: %+v", r)
+		}
+		if !strings.Contains(reports[2].Error, "no such file") || reports[3].Lines != 1 {
+			t.Errorf("missing file and standard input: %+v", reports[2:])
+		}
+	}
+	copied := set.files[3].path
+	set.Close()
+	if _, err := os.Stat(copied); !os.IsNotExist(err) {
+		t.Errorf("the copy of standard input stays: %v", err)
+	}
+}
