cli: trace explains a job, task, worker or shard from the logs of all hosts

The command prints the lines in order, the runs as intervals with leader and epoch, overlaps, the causes of docs/OPERATIONS.md by a table of patterns, and what the logs do not show. The pure package trace decides; logread reads; render prints.

--- a/cli/cmd/tamarackctl/main.go
+++ b/cli/cmd/tamarackctl/main.go
@@ -1,6 +1,6 @@
 // Command tamarackctl lets operators plan and apply sheets, read the status and
-// decisions of a deployment, stop rows and drain entry hosts. See
-// docs/operators.md.
+// decisions of a deployment, stop rows, drain entry hosts and explain failures
+// from logs. See docs/operators.md.
 package main
 
 import (
@@ -17,7 +17,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second interrupt ends the process at once
-	env := app.Environment{Stdout: os.Stdout, Stderr: os.Stderr}
+	env := app.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	if u, err := user.Current(); err == nil {
 		env.User = u.Username
 	}
--- a/cli/internal/app/app.go
+++ b/cli/internal/app/app.go
@@ -19,8 +19,9 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-// Environment holds the process's output streams and its user.
+// Environment holds the process's streams and its user.
 type Environment struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	User   string // author of a change when --author is not given
@@ -38,7 +39,7 @@
 	if invocation.Author == "" {
 		invocation.Author = env.User
 	}
-	report := execute(ctx, *invocation)
+	report := execute(ctx, *invocation, env.Stdin)
 	if invocation.Output == command.OutputJSON {
 		io.WriteString(env.Stdout, render.JSON(report))
 		return report.ExitStatus()
@@ -51,12 +52,15 @@
 	return report.ExitStatus()
 }
 
-// execute runs the command of an invocation: locally for check and replay,
-// otherwise with a request to an entry host.
-func execute(ctx context.Context, inv command.Invocation) render.Report {
+// execute runs the command of an invocation: locally for check, replay and
+// trace, otherwise with a request to an entry host.
+func execute(ctx context.Context, inv command.Invocation, stdin io.Reader) render.Report {
 	origin := render.Origin{Command: inv.Command.Name()}
-	if c, ok := inv.Command.(command.Replay); ok {
+	switch c := inv.Command.(type) {
+	case command.Replay:
 		return replayFile(c, origin)
+	case command.Trace:
+		return traceLogs(c, stdin, origin)
 	}
 	var rows []structs.SheetRow
 	if file, ok := sheetFile(inv.Command); ok {
--- a/cli/internal/app/app_test.go
+++ b/cli/internal/app/app_test.go
@@ -206,7 +206,7 @@
 func TestHelp(t *testing.T) {
 	t.Setenv("COLUMNS", "80")
 	g := goldie.New(t)
-	for _, name := range []string{"", "plan", "apply", "status", "explain", "stop", "resume", "drain", "check", "replay"} {
+	for _, name := range []string{"", "plan", "apply", "status", "explain", "stop", "resume", "drain", "check", "replay", "trace"} {
 		status, stdout, stderr := run(t, nil, strings.Fields(name+" --help")...)
 		if status != 0 || stderr != "" {
 			t.Errorf("%s --help: exit status %d, stderr %s", name, status, stderr)
@@ -221,6 +221,7 @@
 		"status --host localhost:1":      `"localhost:1" is not IP:port`,
 		"check x --time-zone Sofia":      `unknown time zone "Sofia"`,
 		"check x --timeout 0s":           "--timeout must be over 0",
+		"trace shard-0":                  "required argument 'log'",
 		"check no-such-file":             "no such file",
 		"drain --host 1.2.3.4:5,[::]:6":  "exactly one --host",
 		"status -o xml --host 1.2.3.4:5": "xml",
--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -79,6 +79,14 @@
 	Subject string // show only decisions about it; empty: all decisions
 }
 
+// Trace explains what happened to a job, task, worker or shard from logs.
+type Trace struct {
+	ID     string
+	Logs   []string      // files; "-" is standard input
+	Window time.Duration // around lines of the subject, in which lines of those involved are shown
+	Lines  int           // of the timeline in the table; 0: all
+}
+
 func (Plan) isCommand()    {}
 func (Apply) isCommand()   {}
 func (Status) isCommand()  {}
@@ -87,6 +95,7 @@
 func (Drain) isCommand()   {}
 func (Check) isCommand()   {}
 func (Replay) isCommand()  {}
+func (Trace) isCommand()   {}
 
 // Name implements Command.
 func (Plan) Name() string    { return "plan" }
@@ -96,6 +105,7 @@
 func (Drain) Name() string   { return "drain" }
 func (Check) Name() string   { return "check" }
 func (Replay) Name() string  { return "replay" }
+func (Trace) Name() string   { return "trace" }
 
 // Name implements Command; it returns "stop" or "resume".
 func (s Stop) Name() string {
--- a/cli/internal/command/parse.go
+++ b/cli/internal/command/parse.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -146,7 +148,7 @@
 		}
 	}
 	switch {
-	case selected == Check{}.Name() || selected == Replay{}.Name():
+	case isLocal(selected):
 	case len(o.Hosts) == 0:
 		return o, fmt.Errorf("%s needs --host or TAMARACKCTL_HOST", selected)
 	case selected == Drain{}.Name() && len(o.Hosts) != 1:
@@ -155,6 +157,20 @@
 	return o, nil
 }
 
+// logNames restores the name "-", which kingpin passes on as an empty argument.
+func logNames(args []string) []string {
+	names := slices.Clone(args)
+	for i, name := range names {
+		names[i] = cmp.Or(name, "-")
+	}
+	return names
+}
+
+// isLocal reports whether a command asks no entry host.
+func isLocal(name string) bool {
+	return slices.Contains([]string{Check{}.Name(), Replay{}.Name(), Trace{}.Name()}, name)
+}
+
 // defineCommands declares the commands. It returns, by name, the functions that
 // build a Command from the arguments after parsing.
 func defineCommands(app *kingpin.Application, f *flagValues) map[string]func() Command {
@@ -210,5 +226,14 @@
 	replayFile := replay.Arg("file", "Event log, JSON lines.").Required().String()
 	replaySubject := replay.Flag("subject", "Show only decisions about this row, task, call, partition or worker.").PlaceHolder("NAME").String()
 	builders["replay"] = func() Command { return Replay{File: *replayFile, Subject: *replaySubject} }
+
+	trace := defineCommand("trace", "Explain what happened to a job, task, worker or shard from the logs of all hosts.", exampleTrace)
+	id := trace.Arg("id", "Job, task (JOB.OCCURRENCE.STEP.INDEX), worker (i-...) or shard (shard-N).").Required().String()
+	traceLogs := trace.Arg("log", "Logs of the hosts, as text or JSON; - is standard input.").Required().Strings()
+	window := trace.Flag("window", "Time around each line in which lines of the workers, leaders and hosts involved are shown.").Default("5s").Duration()
+	lines := trace.Flag("lines", "Lines of the timeline in the table; 0 shows all.").Default("200").Uint16()
+	builders["trace"] = func() Command {
+		return Trace{ID: *id, Logs: logNames(*traceLogs), Window: *window, Lines: int(*lines)}
+	}
 	return builders
 }
--- a/cli/internal/command/usage.go
+++ b/cli/internal/command/usage.go
@@ -2,7 +2,7 @@
 
 const (
 	program = "tamarackctl"
-	summary = "Operate tamarackstep: plan and apply sheets, see the status, stop work."
+	summary = "Operate tamarackstep: plan and apply sheets, see the status, stop work, explain logs."
 )
 
 // Example of each command, which its --help shows.
@@ -16,6 +16,7 @@
 	exampleDrain   = `tamarackctl --host 10.0.0.3:7201 drain`
 	exampleCheck   = `tamarackctl --time-zone Africa/Lagos check sheet.csv`
 	exampleReplay  = `tamarackctl replay events.jsonl --subject member-portal`
+	exampleTrace   = `tamarackctl trace 5c0e7a21d94b36f8.0.1.17 front-a-1.log front-b-1.log`
 )
 
 // usageTemplate is kingpin's usage template with examples and exit statuses added.
