--- a/cli/internal/logread/logread.go
+++ b/cli/internal/logread/logread.go
@@ -117,7 +117,7 @@
 	defer c.close()
 	for range maxNameLines {
 		line, err := c.next()
-		if err != nil {
+		if isEnd(err) {
 			return
 		}
 		if line.Simulated {
@@ -134,6 +134,13 @@
 	}
 }
 
+// isEnd reports whether nothing more can be read after an error: the file has
+// ended or failed. After a bad line reading goes on.
+func isEnd(err error) bool {
+	var failed readError
+	return errors.Is(err, io.EOF) || errors.As(err, &failed)
+}
+
 // Visit reads all files from their start and passes their lines on, ordered by
 // time as far as each file is. It may be called again.
 func (s *Set) Visit(visit func(logline.Event)) []FileReport {
--- a/cli/internal/logread/logread_test.go
+++ b/cli/internal/logread/logread_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/cli/internal/logline"
 )
@@ -53,3 +54,22 @@
 		t.Errorf("the copy of standard input stays: %v", err)
 	}
 }
+
+// TestSimulatedTimes guards against simulated times that are not put beside times of
+// day because the file begins with a line that is no log line, and against the rest
+// of a torn line that is taken for a line of a host of its own.
+func TestSimulatedTimes(t *testing.T) {
+	set, err := Open([]string{StandardInput}, strings.NewReader("built in 8.5 s\n -2.5 front-a "+started+later+" 1 front-b "+other))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer set.Close()
+	var order []string
+	reports := set.Visit(func(e logline.Event) { order = append(order, e.Writer+" "+e.At.Format(time.TimeOnly)) })
+	if got := strings.Join(order, ", "); got != "front-a 03:00:01, front-b 03:00:04" {
+		t.Errorf("got %s, want times from the first clock", got)
+	}
+	if r := reports[0]; r.Lines != 2 || r.Bad != 2 || r.First[1] != (BadLine{3, errNoSimTime.Error()}) {
+		t.Errorf("got %+v, want bad lines 1 and 3", r)
+	}
+}
