--- a/cli/internal/app/app.go
+++ b/cli/internal/app/app.go
@@ -52,8 +52,8 @@
 	return report.ExitStatus()
 }
 
-// execute runs the command of an invocation: locally for check, replay and
-// trace, otherwise with a request to an entry host.
+// execute runs the command of an invocation: locally for check, replay, trace and
+// report, otherwise with a request to an entry host.
 func execute(ctx context.Context, inv command.Invocation, stdin io.Reader) render.Report {
 	origin := render.Origin{Command: inv.Command.Name()}
 	switch c := inv.Command.(type) {
@@ -61,6 +61,8 @@
 		return replayFile(c, origin)
 	case command.Trace:
 		return traceLogs(c, stdin, origin)
+	case command.Report:
+		return reportFigures(c, stdin, origin)
 	}
 	var rows []structs.SheetRow
 	if file, ok := sheetFile(inv.Command); ok {
--- a/cli/internal/app/app_test.go
+++ b/cli/internal/app/app_test.go
@@ -206,7 +206,7 @@
 func TestHelp(t *testing.T) {
 	t.Setenv("COLUMNS", "80")
 	g := goldie.New(t)
-	for _, name := range []string{"", "plan", "apply", "status", "explain", "stop", "resume", "drain", "check", "replay", "trace"} {
+	for _, name := range []string{"", "plan", "apply", "status", "explain", "stop", "resume", "drain", "check", "replay", "trace", "report"} {
 		status, stdout, stderr := run(t, nil, strings.Fields(name+" --help")...)
 		if status != 0 || stderr != "" {
 			t.Errorf("%s --help: exit status %d, stderr %s", name, status, stderr)
--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -87,6 +87,12 @@
 	Lines  int           // of the timeline in the table; 0: all
 }
 
+// Report computes the figures of a day from logs.
+type Report struct {
+	Logs []string // files; "-" is standard input
+	SVG  string   // file for the plot; empty: none
+}
+
 func (Plan) isCommand()    {}
 func (Apply) isCommand()   {}
 func (Status) isCommand()  {}
@@ -96,6 +102,7 @@
 func (Check) isCommand()   {}
 func (Replay) isCommand()  {}
 func (Trace) isCommand()   {}
+func (Report) isCommand()  {}
 
 // Name implements Command.
 func (Plan) Name() string    { return "plan" }
@@ -106,6 +113,7 @@
 func (Check) Name() string   { return "check" }
 func (Replay) Name() string  { return "replay" }
 func (Trace) Name() string   { return "trace" }
+func (Report) Name() string  { return "report" }
 
 // Name implements Command; it returns "stop" or "resume".
 func (s Stop) Name() string {
--- a/cli/internal/command/documentation_test.go
+++ b/cli/internal/command/documentation_test.go
@@ -14,7 +14,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv("TAMARACKCTL_HOST", "10.0.0.1:7201")
-	lines := append(strings.Split(string(data), "\n"), examplePlan, exampleApply, exampleStatus, exampleExplain, exampleStop, exampleResume, exampleDrain, exampleCheck, exampleReplay, exampleTrace)
+	lines := append(strings.Split(string(data), "\n"), examplePlan, exampleApply, exampleStatus, exampleExplain, exampleStop, exampleResume, exampleDrain, exampleCheck, exampleReplay, exampleTrace, exampleReport)
 	checked := 0
 	for _, line := range lines {
 		words := strings.Fields(strings.ReplaceAll(line, `"`, ""))
--- a/cli/internal/command/parse.go
+++ b/cli/internal/command/parse.go
@@ -168,7 +168,7 @@
 
 // isLocal reports whether a command asks no entry host.
 func isLocal(name string) bool {
-	return slices.Contains([]string{Check{}.Name(), Replay{}.Name(), Trace{}.Name()}, name)
+	return slices.Contains([]string{Check{}.Name(), Replay{}.Name(), Trace{}.Name(), Report{}.Name()}, name)
 }
 
 // defineCommands declares the commands. It returns, by name, the functions that
@@ -235,5 +235,10 @@
 	builders["trace"] = func() Command {
 		return Trace{ID: *id, Logs: logNames(*traceLogs), Window: *window, Lines: int(*lines)}
 	}
+
+	report := defineCommand("report", "Show the figures of a day from the logs of all hosts.", exampleReport)
+	reportLogs := report.Arg("log", "Logs of the hosts, as text or JSON; - is standard input.").Required().Strings()
+	svg := report.Flag("svg", "File for a plot of starts, waits, queue and leaders over time.").PlaceHolder("FILE").String()
+	builders["report"] = func() Command { return Report{Logs: logNames(*reportLogs), SVG: *svg} }
 	return builders
 }
--- a/cli/internal/command/usage.go
+++ b/cli/internal/command/usage.go
@@ -17,6 +17,7 @@
 	exampleCheck   = `tamarackctl --time-zone Africa/Lagos check sheet.csv`
 	exampleReplay  = `tamarackctl replay events.jsonl --subject member-portal`
 	exampleTrace   = `tamarackctl trace 5c0e7a21d94b36f8.0.1.17 front-a-1.log front-b-1.log`
+	exampleReport  = `tamarackctl report --svg day.svg front-a-1.log front-b-1.log`
 )
 
 // usageTemplate is kingpin's usage template with examples and exit statuses added.
