cli: each pattern of trace fits a line that the scheduler writes

A line that is reworded in core/scheduler would make its rule match nothing, and trace would be silent about the cause.

--- a/cli/internal/trace/causes_test.go
+++ b/cli/internal/trace/causes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -25,3 +27,48 @@
 		}
 	}
 }
+
+// TestRulesNameLinesOfScheduler guards against a rule that no line fits any more, such
+// as after an action or reason was reworded in the scheduler.
+func TestRulesNameLinesOfScheduler(t *testing.T) {
+	files, err := filepath.Glob("../../../core/scheduler/*.go")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no sources of the scheduler: %v", err)
+	}
+	var sources strings.Builder
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sources.Write(data)
+	}
+	for _, r := range rules {
+		if r.finding == "" && !writesAction(sources.String(), r) {
+			t.Errorf("%q: the scheduler writes no line %q", r.cause, r.part+": "+r.action)
+		}
+		if !strings.Contains(sources.String(), `"`+r.reason) {
+			t.Errorf("%q: the scheduler writes no reason %q", r.cause, r.reason)
+		}
+	}
+}
+
+var actionPattern = regexp.MustCompile(`Part: "(\w+)", Action: ("([^"]*)"|\w+\W)`)
+
+// writesAction reports whether a decision in the sources has the action of a rule. The
+// end of an action may be computed; actions held in variables appear elsewhere as text.
+func writesAction(sources string, r rule) bool {
+	for _, m := range actionPattern.FindAllStringSubmatch(sources, -1) {
+		switch {
+		case m[1] != r.part:
+		case m[3] == "" && strings.Contains(sources, `"`+r.action):
+			return true
+		case m[3] != "" && (strings.HasPrefix(m[3], r.action) || strings.HasPrefix(r.action, m[3])):
+			return true
+		}
+	}
+	return false
+}
