cli: trace names a long wait between two runs of a task

It is a pattern of section 2, step 3 now, with the longest case and its times; overlaps and late first starts show theirs too. TestNextRunLate covers both sides of the bound.

--- a/cli/internal/render/trace.go
+++ b/cli/internal/render/trace.go
@@ -183,7 +183,7 @@
 
 func evidenceText(cause trace.Cause, c clock) string {
 	if len(cause.Lines) == 0 {
-		return oneLine(cause.Task)
+		return spanText(cause.Span, c)
 	}
 	first := cause.Lines[0]
 	text := fmt.Sprintf("%s %s: %s", c.format(first.At), first.Writer, messageOf(first))
@@ -193,6 +193,14 @@
 	return oneLine(text)
 }
 
+// spanText returns the task and the times of a cause that no single line shows.
+func spanText(s trace.Span, c clock) string {
+	if s.From.IsZero() {
+		return oneLine(s.Task)
+	}
+	return oneLine(fmt.Sprintf("%s, from %s to %s", s.Task, c.format(s.From), c.format(s.To)))
+}
+
 // messageOf returns what a line says, without its time and numbers.
 func messageOf(e logline.Event) string {
 	text := strings.TrimSpace(e.Part + ": " + e.Action + " " + e.Subject)
--- a/cli/internal/render/trace_document.go
+++ b/cli/internal/render/trace_document.go
@@ -57,6 +57,8 @@
 	Section string `json:"section"`
 	Step    string `json:"step,omitempty"`
 	Task    string `json:"task,omitempty"`
+	From    string `json:"from,omitempty"`
+	To      string `json:"to,omitempty"`
 	Lines   int    `json:"lines"`
 	First   string `json:"first,omitempty"`
 }
@@ -103,7 +105,7 @@
 }
 
 func newCauseDocument(cause trace.Cause, c clock) causeDocument {
-	d := causeDocument{Cause: cause.Text, Section: cause.Section, Step: cause.Step, Task: cause.Task, Lines: len(cause.Lines)}
+	d := causeDocument{Cause: cause.Text, Section: cause.Section, Step: cause.Step, Task: cause.Span.Task, From: c.document(cause.Span.From), To: c.document(cause.Span.To), Lines: len(cause.Lines)}
 	if d.Lines > 0 {
 		d.First = c.document(cause.Lines[0].At) + " " + cause.Lines[0].Writer + ": " + messageOf(cause.Lines[0])
 	}
--- a/cli/internal/trace/causes.go
+++ b/cli/internal/trace/causes.go
@@ -13,7 +13,13 @@
 	Step    string // of the section; empty: the section has no numbered steps
 	Text    string
 	Lines   []logline.Event // the lines that speak for it, oldest first
-	Task    string          // task of the finding, where no single line shows it
+	Span    Span            // of the worst case, where no single line shows the cause
+}
+
+// Span is a time of a task; Task is empty and the times are zero where they are not known.
+type Span struct {
+	Task     string
+	From, To time.Time
 }
 
 // finding is a pattern over several lines.
@@ -24,11 +30,12 @@
 	overlapShown    finding = "overlap shown"
 	overlapPossible finding = "overlap possible"
 	startedLate     finding = "started late"
+	nextRunLate     finding = "next run late"
 	neverStarted    finding = "never started"
 )
 
-// lateStart is the wait from acceptance to the first start from which a job counts
-// as late.
+// lateStart is the wait from acceptance to the first start of a job, or from the end
+// of a run to the next of its task, from which the start counts as late.
 const lateStart = 2 * time.Second
 
 // rule maps a pattern to a cause and to its place in docs/OPERATIONS.md. A pattern is
@@ -69,6 +76,7 @@
 	{section: sectionLate, step: "2", part: "leader", action: "took the lead", minVersion: 2, context: true, cause: "the leader changed: between the former leader's last line and 'state read from the store' nothing is started"},
 	{section: sectionLate, step: "2", part: "job", action: "moves to another shard", cause: "the first shard had no room"},
 	{section: sectionLate, step: "3", finding: startedLate, cause: "the first start came late: the shard had no leader, or no worker had enough free capacity"},
+	{section: sectionLate, step: "3", finding: nextRunLate, cause: "the next run of a task came late: the shard had no leader, or no worker had enough free capacity"},
 	{section: sectionLate, step: "3", part: "worker", action: "isolated", context: true, cause: "a worker was isolated, since runs of several jobs failed there"},
 	{section: sectionLate, step: "3", part: "worker", action: "drains", context: true, cause: "a worker was taken out of service"},
 	{section: sectionLate, step: "4", part: "task", action: "start refused", cause: "a worker refused a start"},
@@ -131,28 +139,36 @@
 	shown := findingsOf(f)
 	var causes []Cause
 	for i, r := range rules {
-		task, found := shown[r.finding]
+		span, found := shown[r.finding]
 		if len(lines[i]) > 0 || found && r.finding != "" {
-			causes = append(causes, Cause{Section: r.section, Step: r.step, Text: r.cause, Lines: lines[i], Task: task})
+			causes = append(causes, Cause{Section: r.section, Step: r.step, Text: r.cause, Lines: lines[i], Span: span})
 		}
 	}
 	return causes
 }
 
-// findingsOf returns the patterns over several lines that hold, each with the task
-// that it was first found for, if any.
-func findingsOf(f Findings) map[finding]string {
-	found := make(map[finding]string)
+// findingsOf returns the patterns over several lines that hold, each with its longest
+// case.
+func findingsOf(f Findings) map[finding]Span {
+	found := make(map[finding]Span)
+	add := func(kind finding, s Span) {
+		if known, ok := found[kind]; !ok || s.To.Sub(s.From) > known.To.Sub(known.From) {
+			found[kind] = s
+		}
+	}
 	if f.Subject.job() != "" && len(f.Timeline) == 0 {
-		found[noLine] = ""
+		add(noLine, Span{})
 	}
 	for _, o := range f.Overlaps {
 		kind := overlapPossible
 		if o.Shown {
 			kind = overlapShown
 		}
-		if _, known := found[kind]; !known {
-			found[kind] = o.Task
+		add(kind, Span{o.Task, o.From, o.To})
+	}
+	for _, wait := range waitsBetween(f.Runs) {
+		if wait.To.Sub(wait.From) >= lateStart {
+			add(nextRunLate, wait)
 		}
 	}
 	accepted, isAccepted := f.firstOf("request", "job accepted")
@@ -160,9 +176,21 @@
 	switch {
 	case !isAccepted:
 	case isStarted && started.At.Sub(accepted.At) >= lateStart:
-		found[startedLate] = started.Subject
+		add(startedLate, Span{started.Subject, accepted.At, started.At})
 	case !isStarted:
-		found[neverStarted] = ""
+		add(neverStarted, Span{})
 	}
 	return found
 }
+
+// waitsBetween returns the times from the end of each run to the next of its task.
+func waitsBetween(runs []Run) []Span {
+	var waits []Span
+	for i, next := range runs {
+		if i == 0 || runs[i-1].Task != next.Task || runs[i-1].Ended.IsZero() || next.Ordered.IsZero() {
+			continue
+		}
+		waits = append(waits, Span{next.Task, runs[i-1].Ended, next.Ordered})
+	}
+	return waits
+}
--- a/cli/internal/trace/causes_test.go
+++ b/cli/internal/trace/causes_test.go
@@ -4,8 +4,10 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestRulesNameOperationsPage guards against a rule whose section or step is not in
@@ -72,3 +74,18 @@
 	}
 	return false
 }
+
+// TestNextRunLate guards against a task that waits for a worker after its run was lost
+// without a cause for the wait.
+func TestNextRunLate(t *testing.T) {
+	for wait, want := range map[time.Duration]bool{lateStart - 1: false, lateStart: true} {
+		f := analyse(event(0, "a", "task", "start ordered", "i-1", 1), event(second, "a", "task", "run lost", "i-1", 1),
+			event(second+wait, "a", "task", "start ordered", "i-2", 2))
+		found := slices.ContainsFunc(f.Causes, func(c Cause) bool {
+			return strings.Contains(c.Text, "next run of a task came late") && c.Span.Task == testTask && c.Span.To.Sub(c.Span.From) == wait
+		})
+		if found != want {
+			t.Errorf("a wait of %s: late is %t, want %t; causes %+v", wait, found, want, f.Causes)
+		}
+	}
+}
