--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -85,12 +85,17 @@
 	return nil
 }
 
+// StatusError returns an error that describes a status other than success.
+func (e Endpoint) StatusError(step, address string, r Response) error {
+	return oops.In(e.PeerKind).With("step", step).With("peer", address).With("status", r.Status).
+		Errorf("answered with status %d", r.Status)
+}
+
 // RefusalOutcome returns the outcome that a status other than success proves, and
 // an error that describes it. A status 4xx, except for a request timeout (408),
 // means that the request had no effect; after any other the outcome is unknown.
 func (e Endpoint) RefusalOutcome(step, address string, r Response) (structs.Outcome, error) {
-	err := oops.In(e.PeerKind).With("step", step).With("peer", address).With("status", r.Status).
-		Errorf("answered with status %d", r.Status)
+	err := e.StatusError(step, address, r)
 	if r.Status >= 400 && r.Status < 500 && r.Status != http.StatusRequestTimeout {
 		return structs.OutcomeNotDone, err
 	}
