--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,11 +1,13 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +82,84 @@
 		t.Errorf("write after the seal: %v", err)
 	}
 }
+
+// Guards against a wrong outcome when a connection is refused, breaks after the request was
+// read, or was closed by the peer while it was idle: a request that the peer has read is never
+// reported as not sent, and is sent once.
+func TestOutcomesOfBrokenConnections(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := closed.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if o := post(t, New(limits), closed.Addr().String()); o != structs.OutcomeNotDone {
+		t.Errorf("refused connection: outcome %v", o)
+	}
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		answered  int    // requests on each connection
+		readsNext bool   // reads a further request before it closes the connection
+		writes    string // then
+	}{
+		"closed without an answer":   {0, true, ""},
+		"closed in the status line":  {0, true, "HTTP/1.1 20"},
+		"closed after an answer":     {1, true, ""},
+		"closed while it is idle":    {1, false, ""},
+		"closed before it reads any": {0, false, ""},
+	} {
+		var read atomic.Int64
+		address := serve(t, func(conn net.Conn) {
+			defer conn.Close()
+			buffered := bufio.NewReader(conn)
+			readRequest := func() bool {
+				r, err := http.ReadRequest(buffered)
+				if err != nil {
+					return false
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				read.Add(1)
+				return true
+			}
+			for range c.answered {
+				if !readRequest() {
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+			if c.readsNext && readRequest() {
+				_, _ = io.WriteString(conn, c.writes)
+			}
+		})
+		tr := New(limits)
+		for i := range 4 {
+			before := read.Load()
+			o := post(t, tr, address)
+			sent := read.Load() - before
+			if sent > 1 || sent == 1 && o == structs.OutcomeNotDone || sent == 0 && o == structs.OutcomeDone {
+				t.Errorf("%s, request %d: outcome %v, read %d times", name, i, o, sent)
+			}
+			if c.readsNext && i == c.answered && o != structs.OutcomeUnknown {
+				t.Errorf("%s, request %d: outcome %v, want unknown", name, i, o)
+			}
+		}
+	}
+}
+
+// post sends a request with a body and returns its outcome.
+func post(t *testing.T, tr *Transport, address string) structs.Outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, outcome, err := tr.RoundTrip(req)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	return outcome
+}
