--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -74,7 +73,7 @@
 	n, _ := j.taskNumber(a.Task)
 	t := &j.tasks[n]
 	r := &run{
-		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, phase: phaseRunning, startSentAt: l.state.now,
+		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, address: w.entry.Address, phase: phaseRunning, startSentAt: l.state.now,
 		confirmedAt: sent, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint,
 	}
 	w.addRun(r)
@@ -91,7 +90,6 @@
 
 // What showed that a worker has started again, as logs name it.
 const (
-	shownByEntry   = "its entry in the list"
 	shownByLists   = "its lists of runs"
 	shownByCommand = "the answer to a command"
 )
@@ -105,25 +103,24 @@
 		Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation), Reason: shownBy, Age: l.state.now - w.answeredSyncSentAt,
 	})
 	for _, r := range w.sortedRuns() {
-		switch {
-		case r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt:
+		if w.confirmedByKnownIncarnation(r) {
 			l.runLost(r, "the worker started again, confirmed before its last lists")
-		case w.confirmedByKnownIncarnation(r):
-			l.runLost(r, "the worker started again, confirmed with its former clock")
-		default:
-			l.state.logDecision(Decision{
-				Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
-				Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
-			})
+			continue
 		}
+		r.stopAckedAt = 0 // the next incarnation has not seen the stop
+		if r.stopRequestedAt > 0 {
+			l.sendStop(r)
+		}
+		l.state.logDecision(Decision{
+			Part: "task", Action: "run kept", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id),
+			Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
+		})
 	}
-	if len(w.runs) > 0 {
-		w.boundLeases()
-	}
+	w.boundLeases()
 	w.incarnationSeenAt = l.state.now
-	w.incarnation, w.listsRead, w.moreEnded, w.lastEnd, w.durableEnd, w.pendingAcks = incarnation, false, false, 0, 0, nil
+	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
+	w.acks = ackState{inFlight: w.acks.inFlight}
 	w.sentLeaseEnd, w.clockMS = 0, 0
-	w.leader.markReconciled(w.id)
 	w.throttle = throttleState{speedLimit: fullSpeed}
 	w.failStreak, w.failedJobs = 0, nil
 	w.syncSoon()
@@ -138,25 +135,29 @@
 
 // confirmedByKnownIncarnation reports whether the incarnation that answered the last sync,
 // or an earlier one, has confirmed a run. Answers to starts do not name the incarnation: one
-// that arrived after that sync was sent may be of the next incarnation, unless its clock
-// shows otherwise.
+// that arrived after that sync was sent may be of the next one. Their clock does not tell
+// either, since the clock of an incarnation begins at any value.
 func (w *worker) confirmedByKnownIncarnation(r *run) bool {
-	if r.confirmedAt == 0 {
-		return false
-	}
-	return r.confirmedAt <= w.answeredSyncSentAt || r.ofIncarnation != 0 && r.ofIncarnation == w.incarnation
+	return r.confirmedAt > 0 && r.confirmedAt <= w.answeredSyncSentAt
 }
 
-// isClockOfIncarnation reports whether an answer with this clock is certainly not of the
-// next incarnation, whose clock began after the last answered sync was sent.
-func (w *worker) isClockOfIncarnation(clockMS int64) bool {
-	const maxClockRate = 1.05 // of a clock that began anew, with a margin
-	youngest := float64((w.leader.state.now - w.answeredSyncSentAt).Milliseconds()) * maxClockRate
-	return w.answeredSyncSentAt > 0 && float64(clockMS) > youngest+float64(clockSlack.Milliseconds())
+// refusedByKnownIncarnation reports whether the same has acknowledged a stop of a run, after
+// which it does not begin.
+func (w *worker) refusedByKnownIncarnation(r *run) bool {
+	return r.stopAckedAt > 0 && r.stopAckedAt <= w.answeredSyncSentAt
 }
 
-// clockSlack covers rounding of clocks in answers.
-const clockSlack = 50 * time.Millisecond
+// handleMisdirected handles the answer of another worker at an address: what ran there has
+// ended. The worker may have started again at another address, and may run there what was
+// sent to that one. It reports whether the worker is gone.
+func (w *worker) handleMisdirected(address string) bool {
+	elsewhere := func(r *run) bool { return r.address != address }
+	if address != w.entry.Address || slices.ContainsFunc(w.sortedRuns(), elsewhere) {
+		return false
+	}
+	w.handleGone("another incarnation of the worker answered")
+	return true
+}
 
 // handleGone handles a worker whose incarnation has ended.
 func (w *worker) handleGone(reason string) {
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -27,11 +27,12 @@
 	worker *worker
 	id     structs.Run
 
+	address string // of the worker when the start was sent, or when the run was adopted
+
 	phase           phase
 	startSentAt     Instant
 	startCounted    bool    // the start counts as outstanding in the leader's start window
 	confirmedAt     Instant // when the worker confirmed the start; 0: not confirmed
-	ofIncarnation   int64   // incarnation that certainly confirmed the start; 0: not known
 	stopRequestedAt Instant // 0: no stop requested
 	stopSentAt      Instant // last stop command
 	stopAckedAt     Instant // 0: not acknowledged
@@ -88,7 +89,7 @@
 	t := j.taskAt(ref)
 	n, _ := j.taskNumber(ref)
 	r := &run{
-		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
+		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, address: w.entry.Address, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
 		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n],
 	}
 	j.setRun(ref, r, l.state.now)
@@ -99,7 +100,7 @@
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
 	e.Ticket, _ = l.ticketFor(w, stepKeyOf(ref), l.state.config.policyOf(&j.Job))
-	e.ID = l.expectAnswer(func(o CommandDone) { l.startAnswered(r, o) })
+	e.ID = l.expectAnswer(func(o CommandDone) { l.startAnswered(r, o, e.Address) })
 	l.state.emit(e)
 	l.state.logDecision(Decision{Part: "task", Action: "start ordered", Subject: taskName(ref), Where: string(w.id), Number: uint64(id), Age: l.state.now - w.answeredSyncSentAt})
 }
@@ -114,7 +115,8 @@
 	})
 }
 
-func (l *leaderState) startAnswered(r *run, o CommandDone) {
+// startAnswered handles the outcome of a start that was sent to an address.
+func (l *leaderState) startAnswered(r *run, o CommandDone, address string) {
 	w := r.worker
 	if l.starts.answered(r, o, l.state.now) {
 		l.schedule.requestPass()
@@ -126,9 +128,6 @@
 	switch {
 	case o.Outcome == structs.OutcomeDone:
 		r.confirmedAt = l.state.now
-		if w.isClockOfIncarnation(o.ClockMS) {
-			r.ofIncarnation = w.incarnation
-		}
 		if r.phase == phaseStarting || r.phase == phaseUnknown {
 			r.phase = phaseRunning
 		}
@@ -141,11 +140,11 @@
 		l.state.logDecision(Decision{Part: "task", Action: "start without an answer", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id)})
 		w.syncSoon()
 	default:
-		l.startRefused(r, o)
+		l.startRefused(r, o, address)
 	}
 }
 
-func (l *leaderState) startRefused(r *run, o CommandDone) {
+func (l *leaderState) startRefused(r *run, o CommandDone, address string) {
 	w := r.worker
 	l.state.logDecision(Decision{Part: "task", Action: "start refused", Subject: taskName(r.ref), Where: string(w.id), Number: uint64(r.id), Reason: o.Refused.String()})
 	l.discardRun(r)
@@ -155,7 +154,9 @@
 		l.stepDown("a worker has seen a higher epoch")
 		return
 	case RefusedIncarnation:
-		w.handleGone("another incarnation of the worker answered")
+		if !w.handleMisdirected(address) {
+			w.syncSoon()
+		}
 	case RefusedCapacity, RefusedLeaseExpired:
 		w.pauseStarts(refusedPause)
 		w.syncSoon()
@@ -222,13 +223,14 @@
 		}
 		r.worker.observeAnswer(o, r)
 		switch {
+		case o.Outcome == structs.OutcomeDone && r.stopSentAt < r.worker.incarnationSeenAt:
+			l.sendStop(r) // the former incarnation may have answered
 		case o.Outcome == structs.OutcomeDone:
 			r.stopAckedAt = l.state.now
 			r.worker.syncSoon()
 		case o.Refused == RefusedEpoch:
 			l.stepDown("a worker has seen a higher epoch")
-		case o.Refused == RefusedIncarnation:
-			r.worker.handleGone("another incarnation of the worker answered")
+		case o.Refused == RefusedIncarnation && r.worker.handleMisdirected(e.Address):
 		default:
 			l.after(stopRetryInterval, func() { l.sendStop(r) })
 		}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -17,6 +17,8 @@
 	listed bool // it is in the platform's list
 	used   bool // it is in the stored list of used workers; nothing is started on others
 
+	usedAddress string // its address in that list, where a later leader asks for its runs
+
 	listsRead          bool    // its lists have been read completely under this epoch
 	moreEnded          bool    // its last answer did not list all ends
 	firstAskedAt       Instant // when this leader sent its first sync; 0: not yet
@@ -27,6 +29,7 @@
 	clockMS            int64   // its clock at clockAt
 	clockAt            Instant
 	sentLeaseEnd       int64   // latest lease end that was sent, in ms on its clock
+	leaseSentAt        Instant // when a lease end was last sent
 	inheritedEnd       Instant // when all runs that former leaders started have certainly ended, as the last one stored it; 0: not known
 	endPublished       bool    // the stored list of used workers may tell when its runs end, so that no lease is granted
 	leasesEndBy        Instant // bound of leases that were sent to a former incarnation and granted by this one; 0: none
@@ -42,9 +45,7 @@
 	serving        []*run            // runs with a target for their tail latency
 	bestEffort     []*run            // runs that use idle CPU
 
-	lastEnd     uint64 // number of the last end that was handled
-	durableEnd  uint64 // number of the last end whose effect is stored
-	pendingAcks []pendingAck
+	acks ackState // of the ends that its incarnation lists
 
 	heldFor   *job // job with a waiting persistent task that the worker is kept free for; nil: none
 	heldUntil Instant
@@ -68,11 +69,6 @@
 	w.leader.schedule.requestPassAt(w.heldUntil)
 }
 
-// pendingAck is an end that can be acknowledged once a commit has been stored.
-type pendingAck struct {
-	end, batch uint64
-}
-
 // applyWorkerRows applies rows of the platform's list of workers.
 func (l *leaderState) applyWorkerRows(rows []Row, all bool) {
 	if all {
@@ -144,13 +140,13 @@
 	if !w.listed {
 		l.state.logDecision(Decision{Part: "worker", Action: "listed", Subject: string(id), Where: e.Address})
 	}
-	// Entries are written with each heartbeat; only a changed one is worth a sync.
-	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining
-	renewed := e.Incarnation != w.entry.Incarnation
-	w.entry, w.listed = e, true
-	if renewed && w.incarnation != 0 && e.Incarnation > w.incarnation {
-		w.handleRestart(e.Incarnation, shownByEntry)
+	// Entries are written with each heartbeat; only a changed one is worth a sync. Another start
+	// time does not prove a restart, since an entry may be older than the lists that are known.
+	changed := !w.listed || w.entry.Address != e.Address || w.entry.Draining != e.Draining || w.entry.Incarnation != e.Incarnation
+	if w.used && w.usedAddress != e.Address {
+		l.commits.usedWorkersChanged = true
 	}
+	w.entry, w.listed = e, true
 	if changed && l.isLoaded() {
 		w.syncSoon()
 	}
