soak: mixes of restarts of workers, by seed

Cause: the only restarts played were those of all idle workers at once, so that a restart while busy, twice, with refused connections, with a late, removed or older entry, or beside a lost link or leader was met by chance only.

Change: RunRestartMixes draws such mixes; RunIdleRestarts is one of them and unchanged. Proxies refuse connections while a worker is down and can hold back requests alone. TestRestartMixes plays three seeds with two rounds; SOAK_RESTART_SEEDS names seeds for runs by hand.

--- a/standin/jobplatform/store.go
+++ b/standin/jobplatform/store.go
@@ -109,6 +109,19 @@
 	s.notifyWaiters()
 }
 
+// Rows returns the rows of a table in all partitions, in no order.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []Row
+	for id, row := range s.rows {
+		if id.table == table {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
 // set applies a change at the current version and appends it to the history.
 func (s *Store) set(r Row) {
 	r.RowVersion = s.version
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -87,18 +87,34 @@
 	return &Worker{ID: id, Address: address, Service: service, Rack: rack, MilliCores: milliCores, ClockRate: clockRate, store: store, checker: checker, wakeup: make(chan struct{})}
 }
 
+// BootOptions say how an incarnation differs from one that starts in the usual way.
+type BootOptions struct {
+	Unregistered bool          // it writes no entry until Register is called
+	BornEarlier  time.Duration // its start time is so much lower than that of the former incarnation; 0: it is the time of its start
+}
+
 // Boot starts a new incarnation of the worker, which keeps no state of earlier
 // ones.
-func (w *Worker) Boot() {
+func (w *Worker) Boot() { w.BootWith(BootOptions{}) }
+
+// BootWith starts a new incarnation with options.
+func (w *Worker) BootWith(options BootOptions) {
 	w.mu.Lock()
 	w.incarnation++
-	w.alive, w.draining, w.bootedAt, w.bootedMS = true, false, time.Now(), time.Now().UnixMilli()
+	w.alive, w.draining, w.bootedAt = true, false, time.Now()
+	if options.BornEarlier > 0 {
+		w.bootedMS -= options.BornEarlier.Milliseconds()
+	} else {
+		w.bootedMS = time.Now().UnixMilli()
+	}
 	w.epoch, w.leaseEndMS, w.lastEndNumber, w.acknowledgedUpTo, w.listedAtExpiry = 0, 0, 0, 0, 0
 	w.runs, w.highestRun, w.ended = make(map[string]*taskRun), make(map[string]uint64), nil
 	w.clockOriginMS = rand.Int64N(maxClockOrigin.Milliseconds())
 	incarnation := w.incarnation
 	w.mu.Unlock()
-	w.register()
+	if !options.Unregistered {
+		w.Register()
+	}
 	go w.runTasks(incarnation)
 }
 
@@ -123,7 +139,7 @@
 	w.mu.Lock()
 	w.draining = true
 	w.mu.Unlock()
-	w.register()
+	w.Register()
 }
 
 // SetFaults replaces the worker's faults.
@@ -136,8 +152,8 @@
 	}
 }
 
-// register writes the worker's entry to the store.
-func (w *Worker) register() {
+// Register writes the worker's entry to the store.
+func (w *Worker) Register() {
 	w.mu.Lock()
 	state := "ready"
 	if w.draining {
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -61,7 +61,7 @@
 		return LoadReport{}, err
 	}
 	callers := &callerPool{cluster: cluster, counts: make(map[string]int)}
-	callers.submitAtRate(load)
+	callers.submitAtRate(load, callers.seed)
 	unsettled := callers.awaitSettled()
 	after, err := cluster.hostCPU()
 	if err != nil {
@@ -88,9 +88,10 @@
 	return all, nil
 }
 
-// submitAtRate submits the jobs of a load and returns once all have an answer.
-func (c *callerPool) submitAtRate(load Load) {
-	rng := rand.New(rand.NewPCG(c.seed, 0))
+// submitAtRate submits the jobs of a load and returns once all have an answer. The seed
+// determines their IDs.
+func (c *callerPool) submitAtRate(load Load, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
 	interval := time.Duration(float64(time.Second) / load.JobsPerSecond)
 	ctx, cancel := context.WithTimeout(context.Background(), load.Length)
 	defer cancel()
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -11,49 +11,75 @@
 
 // The faults of a link.
 const (
-	LinkHealthy        LinkFault = iota
-	LinkReset                    // resets open and new connections
-	LinkStalled                  // holds bytes back in both directions
-	LinkRepliesStalled           // holds the server's bytes back
-	LinkDelayed                  // forwards bytes late
+	LinkHealthy         LinkFault = iota
+	LinkReset                     // resets open and new connections
+	LinkStalled                   // holds bytes back in both directions
+	LinkRepliesStalled            // holds the server's bytes back
+	LinkDelayed                   // forwards bytes late
+	LinkRequestsStalled           // holds the caller's bytes back
 )
 
 const (
 	linkDelay        = 300 * time.Millisecond
 	proxyBufferBytes = 32 << 10
+	// proxyIP is an address that outgoing connections do not use, so that the port of a
+	// proxy that refuses connections stays free.
+	proxyIP = "127.0.2.1"
 )
 
 // Proxy forwards connections to one address and injects link faults.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string // that it listens on
+	target  string
 
-	mu      sync.Mutex
-	fault   LinkFault
-	changed chan struct{} // closed when the fault changes
-	conns   map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	fault    LinkFault
+	changed  chan struct{} // closed when the fault changes
+	conns    map[net.Conn]bool
 }
 
 // NewProxy starts a proxy for the target on a free loopback port.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(proxyIP, "0"))
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	go p.accept()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.Refuse()
 	p.SetFault(LinkReset)
 }
 
+// Refuse resets the open connections and has new ones refused.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	p.resetAll()
+}
+
+// Admit ends Refuse.
+func (p *Proxy) Admit() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
+
 // SetFault replaces the fault of the link.
 func (p *Proxy) SetFault(f LinkFault) {
 	p.mu.Lock()
@@ -83,9 +109,9 @@
 	p.conns = make(map[net.Conn]bool)
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		caller, err := p.listener.Accept()
+		caller, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -154,7 +180,7 @@
 		case fault == LinkDelayed:
 			time.Sleep(linkDelay)
 			return
-		case fault == LinkStalled, fault == LinkRepliesStalled && reply:
+		case fault == LinkStalled, fault == LinkRepliesStalled && reply, fault == LinkRequestsStalled && !reply:
 			<-changed
 		default:
 			return
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -38,17 +38,24 @@
 	return program
 }
 
-// runSeed runs a seed and reports its violations. If SOAK_LOGS names a folder,
-// the logs and settings are kept there.
-func runSeed(t *testing.T, seed uint64, size Size, program string) {
-	folder := t.TempDir()
-	if logs := os.Getenv("SOAK_LOGS"); logs != "" {
-		folder = filepath.Join(logs, fmt.Sprint(seed))
-		if err := os.MkdirAll(folder, 0o755); err != nil {
-			t.Fatal(err)
-		}
+// logFolder returns the folder for the logs and settings of a run: one of the given name
+// in the folder that SOAK_LOGS names, or one that the test removes.
+func logFolder(t *testing.T, name string) string {
+	t.Helper()
+	logs := os.Getenv("SOAK_LOGS")
+	if logs == "" {
+		return t.TempDir()
+	}
+	folder := filepath.Join(logs, name)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		t.Fatal(err)
 	}
-	result, err := Run(seed, size, program, folder)
+	return folder
+}
+
+// runSeed runs a seed and reports its violations.
+func runSeed(t *testing.T, seed uint64, size Size, program string) {
+	result, err := Run(seed, size, program, logFolder(t, fmt.Sprint(seed)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,14 +94,60 @@
 // a worker whose restart the leader had not noticed: the new incarnation carries the start
 // out, and its entry in the list of workers is read afterwards.
 func TestIdleWorkersRestart(t *testing.T) {
+	t.Parallel()
 	const rounds, seed = 3, 1
-	result, err := RunIdleRestarts(rounds, seed, defaultSize(seed+1), buildProgram(t), t.TempDir())
+	result, err := RunIdleRestarts(rounds, seed, defaultSize(seed+1), buildProgram(t), logFolder(t, "idle"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report(t, seed, result)
+}
+
+// restartSeeds run in every CI build. A seed that has failed is added with a line on
+// the cause.
+var restartSeeds = []uint64{1, 8, 9}
+
+// runRestartSeed runs mixes of restarts of one seed and reports the violations.
+func runRestartSeed(t *testing.T, seed uint64, rounds int, program string) {
+	result, err := RunRestartMixes(rounds, seed, defaultSize(seed), program, logFolder(t, fmt.Sprintf("restarts-%d", seed)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	report(t, seed, result)
 }
 
+// TestRestartMixes guards against tasks that run twice, get lost or never end after workers
+// restarted under their IDs: at once or later, once or twice, idle or busy, with an entry
+// that is late, removed or older, beside lost links and leaders.
+func TestRestartMixes(t *testing.T) {
+	t.Parallel()
+	const rounds = 2
+	program := buildProgram(t)
+	for _, seed := range restartSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRestartSeed(t, seed, rounds, program)
+		})
+	}
+}
+
+// TestRestartMixSeeds guards against the same failures with the seeds that SOAK_RESTART_SEEDS
+// names, as SOAK_SEEDS does.
+func TestRestartMixSeeds(t *testing.T) {
+	const rounds = 4
+	seeds := parseSeeds(t, os.Getenv("SOAK_RESTART_SEEDS"))
+	if len(seeds) == 0 {
+		t.Skip("SOAK_RESTART_SEEDS is not set")
+	}
+	program := buildProgram(t)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRestartSeed(t, seed, rounds, program)
+		})
+	}
+}
+
 // TestSoakSeeds guards against the same failures with other seeds: those that
 // SOAK_SEEDS names (a list of numbers and ranges A-B), and random ones for
 // SOAK_SECONDS. It prints the seed of a failure.
