--- a/standin/jobplatform/checker.go
+++ b/standin/jobplatform/checker.go
@@ -13,28 +13,83 @@
 // it.
 type JobRecord struct {
 	Spec         string
-	TaskCounts   []int   // tasks, by step
-	Dependencies [][]int // steps that must be done before, by step
-	MilliCores   []int64 // thousandths of a processor per task, by step
-	MaxAttempts  int     // failed runs of a task after which the job fails
-	Persistent   bool    // its tasks run until the job is cancelled
-
-	submittedAt   time.Time
-	accepted      bool
-	refused       bool // every submission was answered as not run
-	cancelSent    bool // a caller has sent a cancel
-	cancelled     bool // a cancel was acknowledged
-	started       bool // a worker has started one of its tasks
-	doneTasks     map[string]bool
-	ackedFailures map[string]int  // failed runs whose end was acknowledged, by task
-	failures      map[string]int  // failed runs, by task
-	ackedDone     map[string]bool // tasks whose successful end was acknowledged
+	TaskCounts   []int    // tasks, by step
+	Dependencies [][]int  // steps that must be done before, by step
+	MilliCores   []int64  // thousandths of a processor per task, by step
+	MaxAttempts  int      // failed runs of a task after which the job fails
+	Persistent   bool     // its tasks run until the job is cancelled
+	Labels       []string // that workers must have, by step; nil or empty: any worker
+	PerWorker    []int    // most tasks on one worker, by step; nil or 0: any number
+
+	submittedAt time.Time
+	accepted    bool
+	refused     bool // every submission was answered as not run
+	cancelSent  bool // a caller has sent a cancel
+	cancelled   bool // a cancel was acknowledged
+	started     bool // a worker has started one of its tasks
+	tasks       map[string]*taskHistory
+}
+
+// task returns the history of a task of the job.
+func (j *JobRecord) task(name string) *taskHistory {
+	h := j.tasks[name]
+	if h == nil {
+		h = &taskHistory{}
+		j.tasks[name] = h
+	}
+	return h
+}
+
+// doneTasks returns how many tasks have had a successful end.
+func (j *JobRecord) doneTasks() int {
+	done := 0
+	for _, h := range j.tasks {
+		if h.count("done") > 0 {
+			done++
+		}
+	}
+	return done
+}
+
+// taskRunID identifies a run of a task on an incarnation of a worker.
+type taskRunID struct {
+	worker      string
+	incarnation int
+	run         uint64
+}
+
+// taskEnd is the end of a run.
+type taskEnd struct {
+	id      taskRunID
+	outcome string
+	acked   bool
 }
 
-// activeRun is the run of a task that a worker is executing.
-type activeRun struct {
-	worker string
-	run    uint64
+// taskStart is the start of a run.
+type taskStart struct {
+	id         taskRunID
+	endsBefore int  // ends of the task before it
+	judged     bool // a violation by the ends before it was reported
+}
+
+// taskHistory is what workers have seen of a task.
+type taskHistory struct {
+	active []taskRunID // that workers are executing
+	ends   []taskEnd   // in order
+	starts []taskStart // in order
+}
+
+// count returns how many runs have ended with an outcome.
+func (h *taskHistory) count(outcome string) int { return countEnds(h.ends, outcome, false) }
+
+func countEnds(ends []taskEnd, outcome string, onlyAcked bool) int {
+	n := 0
+	for _, e := range ends {
+		if e.outcome == outcome && (e.acked || !onlyAcked) {
+			n++
+		}
+	}
+	return n
 }
 
 // Checker checks what workers and callers observe against the scheduler's
@@ -42,7 +97,7 @@
 type Checker struct {
 	mu         sync.Mutex
 	jobs       map[string]*JobRecord
-	activeRuns map[string]activeRun // by task
+	used       map[string]int64 // thousandths of a processor that active runs request, by worker
 	violations []string
 	starts     int             // runs that workers have started
 	startWaits []time.Duration // from the submission of a job to its first start, in order of the starts
@@ -50,7 +105,7 @@
 
 // NewChecker returns a checker without observations.
 func NewChecker() *Checker {
-	return &Checker{jobs: make(map[string]*JobRecord), activeRuns: make(map[string]activeRun)}
+	return &Checker{jobs: make(map[string]*JobRecord), used: make(map[string]int64)}
 }
 
 // Violations returns one line per broken guarantee, in the order of detection.
@@ -83,8 +138,7 @@
 func (c *Checker) JobSubmitted(id string, record JobRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	record.doneTasks, record.ackedFailures, record.ackedDone = make(map[string]bool), make(map[string]int), make(map[string]bool)
-	record.failures, record.submittedAt = make(map[string]int), time.Now()
+	record.tasks, record.submittedAt = make(map[string]*taskHistory), time.Now()
 	c.jobs[id] = &record
 }
 
@@ -121,6 +175,16 @@
 	c.jobs[id].cancelled = true
 }
 
+// CheckUnknownJob checks the state that was reported for a job that no caller submitted. An
+// empty state means that it was reported as not existing.
+func (c *Checker) CheckUnknownJob(id, state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state != "" {
+		c.addViolation("UNREQUESTED: job %s was reported as %s, but no caller submitted it", id, state)
+	}
+}
+
 // CheckReportedState checks the state of a job that was reported to a caller. An empty state
 // means that the job was reported as not existing.
 func (c *Checker) CheckReportedState(id, state string, acceptedBefore bool) {
@@ -134,20 +198,26 @@
 	switch {
 	case state == "" && acceptedBefore && !j.cancelSent:
 		c.addViolation("LOST: accepted job %s was reported as not existing", id)
-	case state == "completed" && len(j.doneTasks) < tasks:
-		c.addViolation("INCOMPLETE: job %s was reported as completed with %d of %d tasks done", id, len(j.doneTasks), tasks)
+	case state == "completed" && j.doneTasks() < tasks:
+		c.addViolation("INCOMPLETE: job %s was reported as completed with %d of %d tasks done", id, j.doneTasks(), tasks)
 	case state == "cancelled" && !j.cancelSent:
 		c.addViolation("LOST: job %s was reported as cancelled, but no cancel was sent", id)
 	case state == "failed":
 		c.checkFailedJob(id, j)
+	case !slices.Contains(jobStates, state):
+		c.addViolation("INCOMPLETE: job %s was reported with the unreadable state %q", id, state)
 	}
 }
 
+// jobStates are the states that a job is reported in. It is empty for a job that is reported
+// as not existing.
+var jobStates = []string{"", "queued", "running", "completed", "failed", "cancelled"}
+
 // checkFailedJob checks that a job reported as failed has a task that used up
 // its attempts.
 func (c *Checker) checkFailedJob(id string, j *JobRecord) {
-	for _, n := range j.failures {
-		if n >= j.MaxAttempts {
+	for _, h := range j.tasks {
+		if h.count("failed") >= j.MaxAttempts {
 			return
 		}
 	}
@@ -176,7 +246,7 @@
 	return 0
 }
 
-// RunStarted checks a run that a worker has started.
+// RunStarted checks a run that a worker has started. The worker's lock is held.
 func (c *Checker) RunStarted(w *Worker, task string, run uint64, spec, checkpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,18 +261,14 @@
 	case checkpoint != "" && !strings.HasPrefix(checkpoint, task+"@"):
 		c.addViolation("UNREQUESTED: %s started on %s with checkpoint %s of another task", task, w.ID, checkpoint)
 	}
-	if other, ok := c.activeRuns[task]; ok {
+	h := j.task(task)
+	for _, other := range h.active {
 		c.addViolation("DUPLICATE: %s run %d is active on %s and run %d starts on %s", task, other.run, other.worker, run, w.ID)
 	}
-	if j.ackedDone[task] {
-		c.addViolation("DUPLICATE: %s run %d starts on %s after its successful end was acknowledged", task, run, w.ID)
-	}
-	if !j.Persistent && j.ackedFailures[task] >= j.MaxAttempts {
-		c.addViolation("ATTEMPTS: %s run %d starts on %s after %d acknowledged failed runs", task, run, w.ID, j.ackedFailures[task])
-	}
+	c.checkPlace(w, j, task, step)
 	for _, before := range j.Dependencies[step] {
 		for i := range j.TaskCounts[before] {
-			if dependency := fmt.Sprintf("%s.0.%d.%d", id, before, i); !j.doneTasks[dependency] {
+			if dependency := fmt.Sprintf("%s.0.%d.%d", id, before, i); j.task(dependency).count("done") == 0 {
 				c.addViolation("DEPENDENCY: %s starts on %s before %s is done", task, w.ID, dependency)
 			}
 		}
@@ -212,31 +278,77 @@
 		c.startWaits = append(c.startWaits, time.Since(j.submittedAt))
 	}
 	j.started = true
-	c.activeRuns[task] = activeRun{w.ID, run}
+	started := taskRunID{w.ID, w.incarnation, run}
+	h.active = append(h.active, started)
+	h.starts = append(h.starts, taskStart{id: started, endsBefore: len(h.ends)})
+	c.checkEndsBefore(j, task)
+}
+
+// checkPlace checks a start against the room, the labels and the other tasks of its worker.
+func (c *Checker) checkPlace(w *Worker, j *JobRecord, task string, step int) {
+	c.used[w.ID] += j.MilliCores[step]
+	if c.used[w.ID] > w.MilliCores {
+		c.addViolation("LIMIT: %s starts on %s, whose runs then use %d of %d", task, w.ID, c.used[w.ID], w.MilliCores)
+	}
+	if step < len(j.Labels) && j.Labels[step] != "" && !slices.Contains(w.labels(), j.Labels[step]) {
+		c.addViolation("ROUTE: %s starts on %s, which has no label %s", task, w.ID, j.Labels[step])
+	}
+	if step >= len(j.PerWorker) || j.PerWorker[step] == 0 {
+		return
+	}
+	beside := 0
+	for name, h := range j.tasks {
+		if _, s := parseTask(name); s == step && slices.ContainsFunc(h.active, func(id taskRunID) bool { return id.worker == w.ID }) {
+			beside++
+		}
+	}
+	if beside >= j.PerWorker[step] {
+		c.addViolation("ROUTE: %s starts on %s beside %d tasks of its step, of which %d may run there", task, w.ID, beside, j.PerWorker[step])
+	}
 }
 
-// RunEnded records the end of a run.
+// checkEndsBefore checks the starts of a task against the ends before them that have been
+// acknowledged, before the start or later.
+func (c *Checker) checkEndsBefore(j *JobRecord, task string) {
+	h := j.task(task)
+	for i := range h.starts {
+		s := &h.starts[i]
+		before := h.ends[:s.endsBefore]
+		failures := countEnds(before, "failed", true)
+		switch {
+		case s.judged:
+			continue
+		case countEnds(before, "done", true) > 0:
+			c.addViolation("DUPLICATE: %s run %d starts on %s after a successful end that was acknowledged", task, s.id.run, s.id.worker)
+		case !j.Persistent && failures >= j.MaxAttempts:
+			c.addViolation("ATTEMPTS: %s run %d starts on %s after %d acknowledged failed runs", task, s.id.run, s.id.worker, failures)
+		default:
+			continue
+		}
+		s.judged = true
+	}
+}
+
+// RunEnded records the end of a run. The worker's lock is held.
 func (c *Checker) RunEnded(w *Worker, task string, run uint64, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.activeRuns[task] == (activeRun{w.ID, run}) {
-		delete(c.activeRuns, task)
-	}
-	id, _ := parseTask(task)
+	id, step := parseTask(task)
 	j := c.jobs[id]
-	if j == nil {
+	if j == nil || step >= len(j.MilliCores) {
 		return
 	}
-	switch outcome {
-	case "done":
-		j.doneTasks[task] = true
-	case "failed":
-		j.failures[task]++
+	h, ended := j.task(task), taskRunID{w.ID, w.incarnation, run}
+	if i := slices.Index(h.active, ended); i >= 0 {
+		h.active = slices.Delete(h.active, i, i+1)
+		c.used[w.ID] -= j.MilliCores[step]
 	}
+	h.ends = append(h.ends, taskEnd{id: ended, outcome: outcome})
 }
 
-// EndAcknowledged records that the scheduler acknowledged the end of a run.
-func (c *Checker) EndAcknowledged(task string, _ uint64, outcome string) {
+// EndAcknowledged records that the scheduler acknowledged the end of a run. The worker's lock is
+// held.
+func (c *Checker) EndAcknowledged(w *Worker, task string, run uint64, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id, _ := parseTask(task)
@@ -244,12 +356,13 @@
 	if j == nil {
 		return
 	}
-	switch outcome {
-	case "done":
-		j.ackedDone[task] = true
-	case "failed":
-		j.ackedFailures[task]++
+	h := j.task(task)
+	for i := range h.ends {
+		if e := &h.ends[i]; e.id == (taskRunID{w.ID, w.incarnation, run}) && e.outcome == outcome {
+			e.acked = true
+		}
 	}
+	c.checkEndsBefore(j, task)
 }
 
 // Unsettled returns what has not yet converged after all faults have ended:
@@ -271,10 +384,8 @@
 		for _, n := range j.TaskCounts {
 			tasks += n
 		}
-		for task := range c.activeRuns {
-			if owner, _ := parseTask(task); owner == id {
-				running++
-			}
+		for _, h := range j.tasks {
+			running += len(h.active)
 		}
 		c.mu.Unlock()
 		switch {
--- a/standin/jobplatform/store.go
+++ b/standin/jobplatform/store.go
@@ -1,6 +1,7 @@
 package jobplatform
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -20,15 +21,17 @@
 	Hang           bool          // no request is answered
 	Delay          time.Duration // delay of each request
 	LostAnswerRate float64       // share of the transactions that take effect without an answer, 0 to 1
-	LateCommitRate float64       // share of the transactions that take effect up to maxLateCommit later, without an answer, 0 to 1
+	LateCommitRate float64       // share of the transactions that take effect up to MaxLateCommit later, without an answer, 0 to 1
+	MaxLateCommit  time.Duration // 0: defaultMaxLateCommit
+	MaxHistory     int           // changes that are kept; 0: maxHistoryRows
 }
 
 const (
-	maxPageRows    = 500             // in one answer
-	maxLateCommit  = 3 * time.Second // delay within which a late transaction takes effect
-	maxHistoryRows = 20_000          // older changes are discarded
-	maxFeedWait    = 30 * time.Second
-	commitLatency  = 4 * time.Millisecond
+	maxPageRows          = 500             // in one answer
+	defaultMaxLateCommit = 3 * time.Second // delay within which a late transaction takes effect
+	maxHistoryRows       = 20_000          // older changes are discarded
+	maxFeedWait          = 30 * time.Second
+	commitLatency        = 4 * time.Millisecond
 )
 
 // Limits of the store. A transaction over one of them is answered with 400.
@@ -132,9 +135,9 @@
 		s.rows[id] = r
 	}
 	s.history = append(s.history, r)
-	if len(s.history) > maxHistoryRows {
-		s.compactedTo = s.history[0].RowVersion
-		s.history = s.history[1:]
+	if extra := len(s.history) - cmp.Or(s.faults.MaxHistory, maxHistoryRows); extra > 0 {
+		s.compactedTo = s.history[extra-1].RowVersion
+		s.history = s.history[extra:]
 	}
 }
 
@@ -192,7 +195,7 @@
 	}
 	switch draw := rand.Float64(); {
 	case draw < faults.LateCommitRate:
-		time.AfterFunc(time.Duration(rand.Int64N(int64(maxLateCommit))), func() { s.commit(t) })
+		time.AfterFunc(rand.N(cmp.Or(faults.MaxLateCommit, defaultMaxLateCommit)), func() { s.commit(t) })
 		panic(http.ErrAbortHandler)
 	case draw < faults.LateCommitRate+faults.LostAnswerRate:
 		s.commit(t)
--- a/standin/jobplatform/store_test.go
+++ b/standin/jobplatform/store_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against a stand-in that takes what the platform's store rejects, so that tests do
@@ -42,3 +43,36 @@
 		}
 	}
 }
+
+// Guards against a store that is kinder than the protocol: a transaction without an answer may
+// be performed seconds later if its conditions still hold, and the history may be short.
+func TestLateTransactionAndShortHistory(t *testing.T) {
+	request := func(s *Store, method, path, body string) (answer *httptest.ResponseRecorder) {
+		answer = httptest.NewRecorder()
+		defer func() {
+			if recover() != nil {
+				answer.Code = 0
+			}
+		}()
+		s.ServeHTTP(answer, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return answer
+	}
+	const create = `{"ExpectedRevision":[{"Table":"t","Key":"a","RowVersion":0}],"SetKeys":[{"Table":"t","Key":"a","Value":"eA=="}]}`
+	store := NewStore()
+	store.SetFaults(StoreFaults{LateCommitRate: 1, MaxLateCommit: 50 * time.Millisecond, MaxHistory: 1})
+	if code := request(store, http.MethodPost, "/tamarackstep/rows-tx", create).Code; code != 0 {
+		t.Fatalf("status %d, want no answer", code)
+	}
+	waitFor(t, func() bool { return len(store.Rows("t")) == 1 })
+	version := store.Rows("t")[0].RowVersion
+	request(store, http.MethodPost, "/tamarackstep/rows-tx", create)
+	time.Sleep(100 * time.Millisecond)
+	if now := store.Rows("t")[0].RowVersion; now != version {
+		t.Errorf("version %d after a late transaction whose condition does not hold, want %d", now, version)
+	}
+	store.Put("t", "b", nil)
+	store.Put("t", "c", nil)
+	if code := request(store, http.MethodGet, "/tamarackstep/rows-feed?Table=t&After=0", "").Code; code != http.StatusGone {
+		t.Errorf("status %d for history that was discarded, want 410", code)
+	}
+}
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -14,17 +14,24 @@
 	FailAll         bool    // every run that it starts fails
 	StallRuns       bool    // its runs make no progress
 	LateCommandRate float64 // share of the commands that are executed up to maxCommandDelay later, without an answer, 0 to 1
+	// LateCommandsOutlive has late commands executed by the incarnation that is alive at
+	// that time. Otherwise they end with the incarnation that received them.
+	LateCommandsOutlive bool
+	MaxAnswerDelay      time.Duration // answers leave up to so much after the effect, so that they overtake each other
+	RefusalRate         float64       // share of the commands that are answered with 429 or 503 and not executed, 0 to 1
 }
 
 const (
 	stopDelay          = 100 * time.Millisecond
-	maxListedEnds      = 500
 	maxCommandDelay    = 5 * time.Second // delay within which a late command is executed
 	tickInterval       = 10 * time.Millisecond
 	checkpointInterval = 500 * time.Millisecond // of work
 	maxClockOrigin     = 3 * time.Hour          // below which the clock of an incarnation begins
 )
 
+// MaxListedEnds is the number of ends that one answer lists.
+const MaxListedEnds = 500
+
 // TaskSpec is the specification of a task in the jobs of the soak test, as JSON.
 type TaskSpec struct {
 	WorkMS    int64  `json:"work_ms"`    // 0: runs until it is stopped
@@ -42,6 +49,12 @@
 	stopping     bool // stop was requested; the run ends after stopDelay
 }
 
+// runKey identifies a run on a worker.
+type runKey struct {
+	task string
+	run  uint64
+}
+
 type endedRun struct {
 	number     uint64 // counts the ends of one incarnation of the worker, from 1
 	task       string
@@ -56,14 +69,17 @@
 	ID, Address string
 	Service     string
 	Rack        string
-	MilliCores  int64   // capacity in thousandths of a processor
-	ClockRate   float64 // speed of its clock relative to real time
+	MilliCores  int64         // capacity in thousandths of a processor
+	ClockRate   float64       // speed of its clock relative to real time
+	MaxLease    time.Duration // longest lease that it grants
+	Overcommits bool          // it starts what does not fit
 
 	store   *Store
 	checker *Checker
 
 	mu               sync.Mutex
 	faults           WorkerFaults
+	kind             string // label
 	alive            bool
 	draining         bool
 	incarnation      int   // grows with each boot and each crash
@@ -72,11 +88,12 @@
 	clockOriginMS    int64               // what its clock showed at bootedAt
 	epoch            uint64              // highest fencing token seen
 	leaseEndMS       int64               // on its clock
-	runs             map[string]*taskRun // by task
+	runs             map[runKey]*taskRun // several of one task if the scheduler orders them
 	highestRun       map[string]uint64   // by task: the highest run that ended or was stopped
 	ended            []endedRun          // not acknowledged yet, oldest first
 	lastEndNumber    uint64
 	acknowledgedUpTo uint64
+	mostEnds         int           // not acknowledged at once, in any incarnation
 	listedAtExpiry   uint64        // ends up to this number were listed when the lease expired
 	wakeup           chan struct{} // closed and replaced at each end and at a crash
 }
@@ -84,12 +101,13 @@
 // NewWorker returns a worker that registers in the store when it boots. clockRate
 // is the speed of its clock relative to real time.
 func NewWorker(id, address, service, rack string, milliCores int64, clockRate float64, store *Store, checker *Checker) *Worker {
-	return &Worker{ID: id, Address: address, Service: service, Rack: rack, MilliCores: milliCores, ClockRate: clockRate, store: store, checker: checker, wakeup: make(chan struct{})}
+	return &Worker{ID: id, Address: address, Service: service, Rack: rack, MilliCores: milliCores, ClockRate: clockRate, MaxLease: DefaultMaxLease, kind: DefaultKind, store: store, checker: checker, wakeup: make(chan struct{})}
 }
 
 // BootOptions say how an incarnation differs from one that starts in the usual way.
 type BootOptions struct {
 	Unregistered bool          // it writes no entry until Register is called
+	Kind         string        // its label; empty: as before
 	BornEarlier  time.Duration // its start time is so much lower than that of the former incarnation; 0: it is the time of its start
 }
 
@@ -102,13 +120,16 @@
 	w.mu.Lock()
 	w.incarnation++
 	w.alive, w.draining, w.bootedAt = true, false, time.Now()
+	if options.Kind != "" {
+		w.kind = options.Kind
+	}
 	if options.BornEarlier > 0 {
 		w.bootedMS -= options.BornEarlier.Milliseconds()
 	} else {
 		w.bootedMS = time.Now().UnixMilli()
 	}
 	w.epoch, w.leaseEndMS, w.lastEndNumber, w.acknowledgedUpTo, w.listedAtExpiry = 0, 0, 0, 0, 0
-	w.runs, w.highestRun, w.ended = make(map[string]*taskRun), make(map[string]uint64), nil
+	w.runs, w.highestRun, w.ended = make(map[runKey]*taskRun), make(map[string]uint64), nil
 	w.clockOriginMS = rand.Int64N(maxClockOrigin.Milliseconds())
 	incarnation := w.incarnation
 	w.mu.Unlock()
@@ -123,11 +144,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.alive = false
-	w.incarnation++
 	for _, r := range w.runs {
 		w.checker.RunEnded(w, r.task, r.run, "crashed")
 	}
-	w.runs = make(map[string]*taskRun)
+	w.incarnation++
+	w.runs = make(map[runKey]*taskRun)
 	w.wakeWaiters()
 }
 
@@ -146,10 +167,10 @@
 func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = f
 	for _, r := range w.runs {
-		w.setSpeed(r, r.speedPercent)
+		w.setSpeed(r, r.speedPercent) // the work so far counts under the former faults
 	}
+	w.faults = f
 }
 
 // Register writes the worker's entry to the store.
@@ -161,7 +182,7 @@
 	}
 	entry := map[string]any{
 		"Service": w.Service, "Address": w.Address, "State": state, "RemainingMs": 2000, "born": w.bootedMS,
-		"Capacity": map[string]any{"Cpu": w.MilliCores, "MemMb": 64000}, "Labels": []string{"a", w.Rack},
+		"Capacity": map[string]any{"Cpu": w.MilliCores, "MemMb": 64000}, "Labels": w.labels(),
 	}
 	w.mu.Unlock()
 	value, err := json.Marshal(entry)
@@ -171,6 +192,9 @@
 	w.store.Put("servers", w.ID, value)
 }
 
+// labels returns the worker's kind and its rack. The worker's lock is held.
+func (w *Worker) labels() []string { return []string{w.kind, w.Rack} }
+
 // clockMS returns the time on the worker's clock in milliseconds. It begins anew with
 // each incarnation, at any value.
 func (w *Worker) clockMS() int64 {
@@ -224,10 +248,11 @@
 
 // endRun ends a run and lists its end until it is acknowledged.
 func (w *Worker) endRun(r *taskRun, outcome string) {
-	delete(w.runs, r.task)
+	delete(w.runs, runKey{r.task, r.run})
 	w.lastEndNumber++
 	w.highestRun[r.task] = max(w.highestRun[r.task], r.run)
 	w.ended = append(w.ended, endedRun{w.lastEndNumber, r.task, r.run, outcome, w.checkpointName(r)})
+	w.mostEnds = max(w.mostEnds, len(w.ended))
 	w.checker.RunEnded(w, r.task, r.run, outcome)
 	w.wakeWaiters()
 }
@@ -269,7 +294,7 @@
 		return
 	}
 	w.mu.Lock()
-	alive, incarnation, late := w.alive, w.incarnation, w.faults.LateCommandRate
+	alive, incarnation, faults := w.alive, w.incarnation, w.faults
 	w.mu.Unlock()
 	switch {
 	case !alive:
@@ -278,15 +303,34 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if rand.Float64() < late {
-		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCommandDelay))), func() { w.execute(r.URL.Path, cmd, incarnation) })
+	if rand.Float64() < faults.LateCommandRate {
+		time.AfterFunc(rand.N(maxCommandDelay), func() { w.executeLate(r.URL.Path, cmd, incarnation, faults.LateCommandsOutlive) })
 		panic(http.ErrAbortHandler)
 	}
+	if rand.Float64() < faults.RefusalRate {
+		rw.WriteHeader([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable}[rand.IntN(2)])
+		return
+	}
 	status, reason := w.execute(r.URL.Path, cmd, incarnation)
 	if r.URL.Path == "/tamarackstep/hold" && status == http.StatusOK {
 		w.waitForEnd(r, cmd)
 	}
-	w.writeAnswer(rw, r, status, reason)
+	w.writeAnswer(rw, r, status, reason, faults.MaxAnswerDelay)
+}
+
+// executeLate executes a command that was held up. The next incarnation of the worker
+// executes it only if the command outlives the one that received it.
+func (w *Worker) executeLate(path string, cmd command, incarnation int, outlives bool) {
+	if outlives {
+		w.mu.Lock()
+		alive := w.alive
+		incarnation = w.incarnation
+		w.mu.Unlock()
+		if !alive {
+			return
+		}
+	}
+	w.execute(path, cmd, incarnation)
 }
 
 // execute applies a command, unless the incarnation that received it has ended or
@@ -302,7 +346,7 @@
 	}
 	w.epoch = cmd.FencingToken
 	if path != "/tamarackstep/run-start" || cmd.DeadlineMs > w.clockMS() {
-		w.leaseEndMS = max(w.leaseEndMS, min(cmd.DeadlineMs, w.clockMS()+MaxLease.Milliseconds()))
+		w.leaseEndMS = max(w.leaseEndMS, min(cmd.DeadlineMs, w.clockMS()+w.MaxLease.Milliseconds()))
 	}
 	switch path {
 	case "/tamarackstep/run-start":
@@ -310,7 +354,7 @@
 	case "/tamarackstep/run-stop":
 		w.stopRun(cmd)
 	case "/tamarackstep/pace":
-		if r := w.runs[cmd.Task]; r != nil && r.run == cmd.Run {
+		if r := w.runs[runKey{cmd.Task, cmd.Run}]; r != nil {
 			w.setSpeed(r, cmd.Percent)
 		}
 	case "/tamarackstep/hold":
@@ -319,12 +363,15 @@
 	return http.StatusOK, ""
 }
 
-// MaxLease is the longest lease that a worker grants.
-const MaxLease = 6 * time.Second
+// Defaults of a worker.
+const (
+	DefaultMaxLease = 6 * time.Second
+	DefaultKind     = "a"
+)
 
 // startRun starts a run, or returns the status and the reason of a refusal.
 func (w *Worker) startRun(cmd command) (int, string) {
-	if r := w.runs[cmd.Task]; r != nil && r.run == cmd.Run {
+	if r := w.runs[runKey{cmd.Task, cmd.Run}]; r != nil {
 		return http.StatusOK, ""
 	}
 	used := int64(0)
@@ -336,7 +383,7 @@
 		return http.StatusConflict, "old"
 	case cmd.DeadlineMs <= w.clockMS():
 		return http.StatusConflict, "late"
-	case used+w.checker.TaskMilliCores(cmd.Task) > w.MilliCores:
+	case !w.Overcommits && used+w.checker.TaskMilliCores(cmd.Task) > w.MilliCores:
 		return http.StatusConflict, "room"
 	}
 	var spec TaskSpec
@@ -346,15 +393,16 @@
 	w.checker.RunStarted(w, cmd.Task, cmd.Run, cmd.Spec, cmd.Checkpoint)
 	r := &taskRun{task: cmd.Task, run: cmd.Run, spec: spec, speedSince: time.Now(), speedPercent: 100}
 	r.willFail = w.faults.FailAll || spec.FailEvery > 0 && cmd.Run%spec.FailEvery == 0
-	w.runs[cmd.Task] = r
+	w.runs[runKey{cmd.Task, cmd.Run}] = r
 	return http.StatusOK, ""
 }
 
 // stopRun ends a run after stopDelay and refuses later starts of it.
 func (w *Worker) stopRun(cmd command) {
 	w.highestRun[cmd.Task] = max(w.highestRun[cmd.Task], cmd.Run)
-	r := w.runs[cmd.Task]
-	if r == nil || r.run != cmd.Run || r.stopping {
+	key := runKey{cmd.Task, cmd.Run}
+	r := w.runs[key]
+	if r == nil || r.stopping {
 		return
 	}
 	r.stopping = true
@@ -362,7 +410,7 @@
 	time.AfterFunc(stopDelay, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.incarnation == incarnation && w.runs[cmd.Task] == r {
+		if w.incarnation == incarnation && w.runs[key] == r {
 			w.endRun(r, "stopped")
 		}
 	})
@@ -378,7 +426,7 @@
 			continue
 		}
 		if e.number > w.listedAtExpiry {
-			w.checker.EndAcknowledged(e.task, e.run, e.outcome)
+			w.checker.EndAcknowledged(w, e.task, e.run, e.outcome)
 		}
 	}
 	w.ended = kept
@@ -400,11 +448,24 @@
 	}
 }
 
-func (w *Worker) writeAnswer(rw http.ResponseWriter, r *http.Request, status int, reason string) {
+// writeAnswer sends an answer of the state at this moment after a delay up to maxDelay.
+func (w *Worker) writeAnswer(rw http.ResponseWriter, r *http.Request, status int, reason string, maxDelay time.Duration) {
+	body, ok := w.answerBody(r, status, reason)
+	if maxDelay > 0 {
+		time.Sleep(rand.N(maxDelay))
+	}
+	if !ok || !w.Alive() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(rw, status, body)
+}
+
+// answerBody returns false if the worker is not alive.
+func (w *Worker) answerBody(r *http.Request, status int, reason string) (map[string]any, bool) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.alive {
-		w.mu.Unlock()
-		panic(http.ErrAbortHandler)
+		return nil, false
 	}
 	body := map[string]any{"ClockMs": w.clockMS()}
 	if reason != "" {
@@ -419,14 +480,20 @@
 			}
 			running = append(running, []any{t.task, t.run, w.checkpointName(t), percent, 0})
 		}
-		for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
+		for _, e := range w.ended[:min(len(w.ended), MaxListedEnds)] {
 			finished = append(finished, []any{e.number, e.task, e.run, e.outcome, e.checkpoint})
 		}
 		// Only the lists name the incarnation, answers to commands do not.
 		body["Running"], body["Finished"], body["born"] = running, finished, w.bootedMS
 	}
-	w.mu.Unlock()
-	writeJSON(rw, status, body)
+	return body, true
+}
+
+// MostEnds returns the highest number of ends that were not acknowledged at one time.
+func (w *Worker) MostEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mostEnds
 }
 
 // Alive reports whether the worker is booted and has not crashed.
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -89,13 +89,14 @@
 
 // jobStep is a step of a submitted job on the wire.
 type jobStep struct {
-	Count         int   `json:"Count"`
-	Cpu           int64 `json:"Cpu"`
-	MemMb         int64 `json:"MemMb"`
-	EstimatedMs   int64 `json:"EstimatedMs"`
-	After         []int `json:"After,omitempty"`
-	SavesProgress bool  `json:"SavesProgress,omitempty"`
-	Persistent    bool  `json:"Persistent,omitempty"`
+	Count         int    `json:"Count"`
+	Cpu           int64  `json:"Cpu"`
+	MemMb         int64  `json:"MemMb"`
+	EstimatedMs   int64  `json:"EstimatedMs"`
+	After         []int  `json:"After,omitempty"`
+	SavesProgress bool   `json:"SavesProgress,omitempty"`
+	Persistent    bool   `json:"Persistent,omitempty"`
+	Requirements  string `json:"Requirements,omitempty"`
 }
 
 // newJob draws a job of one or two steps, or a job of one persistent step.
@@ -178,7 +179,7 @@
 	case http.StatusOK:
 		var answer struct{ State string }
 		if err := json.Unmarshal(body, &answer); err != nil {
-			return ""
+			answer.State = "not JSON"
 		}
 		c.cluster.Checker.CheckReportedState(id, answer.State, true)
 		return answer.State
@@ -188,6 +189,18 @@
 	return ""
 }
 
+// unknownJob is the ID of a job that no caller submits.
+const unknownJob = "0123456789abcdef"
+
+// queryUnknown returns the state that a host reports for unknownJob.
+func (c *callerPool) queryUnknown(rng *rand.Rand, client *http.Client) string {
+	status, body := c.send(rng, client, http.MethodGet, unknownJob, nil)
+	if status != http.StatusOK {
+		return ""
+	}
+	return string(body)
+}
+
 func (c *callerPool) cancelJob(rng *rand.Rand, client *http.Client, id string) {
 	c.cluster.Checker.CancelSent(id)
 	for range maxAttempts {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,7 +29,11 @@
 
 // Size is the number of host processes and workers of a run. A shard is added for each
 // ShardWorkers workers; 0: there is one.
-type Size struct{ Hosts, Workers, ShardWorkers int }
+type Size struct {
+	Hosts, Workers, ShardWorkers int
+	MaxLease                     time.Duration // of the workers; 0: jobplatform.DefaultMaxLease
+	Overcommits                  bool          // workers start what does not fit
+}
 
 // workersPerRack is the number of workers of a rack.
 const workersPerRack = 2
@@ -61,6 +66,7 @@
 	Store          *jobplatform.Store
 	Checker        *jobplatform.Checker
 	folder         string
+	size           Size
 	storeServer    *http.Server
 	hosts          []*host
 	workers        []*worker
@@ -71,7 +77,8 @@
 // NewCluster starts a store, workers and hosts. Program is the scheduler's binary;
 // logs go to the folder.
 func NewCluster(size Size, program, folder string) (*Cluster, error) {
-	c := &Cluster{Store: jobplatform.NewStore(), Checker: jobplatform.NewChecker(), folder: folder}
+	size.MaxLease = cmp.Or(size.MaxLease, jobplatform.DefaultMaxLease)
+	c := &Cluster{Store: jobplatform.NewStore(), Checker: jobplatform.NewChecker(), folder: folder, size: size}
 	server, address, err := serve(c.Store)
 	if err != nil {
 		return nil, err
@@ -124,6 +131,7 @@
 	}
 	rate := slowestClockRate + 0.01*float64(number%5)
 	w.Worker = jobplatform.NewWorker(fmt.Sprintf("w%02d", number), w.proxy.Address(), workerService, fmt.Sprintf("r%d", number/workersPerRack), workerMilliCores, rate, c.Store, c.Checker)
+	w.MaxLease, w.Overcommits = c.size.MaxLease, c.size.Overcommits
 	w.Boot()
 	c.workers = append(c.workers, w)
 	return nil
@@ -174,7 +182,7 @@
 status_s = 120
 [platform]
 Address = %q
-`, h.name, h.callerAddress, net.JoinHostPort(h.ip, ports[1]), int(stopGracePeriod.Seconds()), jobplatform.MaxLease.Milliseconds(), h.storeProxy.Address())
+`, h.name, h.callerAddress, net.JoinHostPort(h.ip, ports[1]), int(stopGracePeriod.Seconds()), c.size.MaxLease.Milliseconds(), h.storeProxy.Address())
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o644); err != nil {
 		return oops.Wrapf(err, "write settings %s", h.settingsPath)
 	}
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -19,6 +19,7 @@
 	TaskMilliCores int64
 	Work           time.Duration // of each task
 	Length         time.Duration // during which jobs arrive
+	Label          string        // that workers must have; empty: any worker
 }
 
 // LoadReport is what a load cost the hosts and how its jobs fared. The processor
@@ -121,10 +122,10 @@
 		panic(err) // a struct of integers always encodes
 	}
 	record := jobplatform.JobRecord{
-		Spec: string(spec), TaskCounts: []int{l.TasksPerJob}, Dependencies: [][]int{nil}, MilliCores: []int64{l.TaskMilliCores}, MaxAttempts: 3,
+		Spec: string(spec), TaskCounts: []int{l.TasksPerJob}, Dependencies: [][]int{nil}, MilliCores: []int64{l.TaskMilliCores}, MaxAttempts: 3, Labels: []string{l.Label},
 	}
 	body, err := json.Marshal(map[string]any{"Spec": record.Spec, "Steps": []jobStep{{
-		Count: l.TasksPerJob, Cpu: l.TaskMilliCores, MemMb: 100, EstimatedMs: l.Work.Milliseconds(),
+		Count: l.TasksPerJob, Cpu: l.TaskMilliCores, MemMb: 100, EstimatedMs: l.Work.Milliseconds(), Requirements: l.Label,
 	}}})
 	if err != nil {
 		panic(err)
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -34,6 +34,8 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	refusing bool
+	closed   bool
 	fault    LinkFault
 	changed  chan struct{} // closed when the fault changes
 	conns    map[net.Conn]bool
@@ -57,6 +59,9 @@
 func (p *Proxy) Close() {
 	p.Refuse()
 	p.SetFault(LinkReset)
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 }
 
 // Refuse resets the open connections and has new ones refused.
@@ -64,18 +69,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.listener.Close()
+	p.refusing = true
 	p.resetAll()
 }
 
-// Admit ends Refuse.
+// Admit ends Refuse. It has no effect on a proxy that admits connections or is closed.
 func (p *Proxy) Admit() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.refusing || p.closed {
+		return nil
+	}
 	l, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.listener = l
-	p.mu.Unlock()
+	p.listener, p.refusing = l, false
 	go p.accept(l)
 	return nil
 }
--- a/standin/soak/restart.go
+++ b/standin/soak/restart.go
@@ -65,19 +65,40 @@
 	leader   leaderKill
 	link     LinkFault     // of the links to the restarted workers, right after the restarts
 	busyWork time.Duration // work of the tasks that run during the restarts; 0: the workers are idle
+
+	// Of MixWide.
+	overtake bool // answers of all workers overtake each other
+	// Of MixOpen. All of them have the next incarnation execute orders for the former one, or
+	// for a worker of another kind.
+	lapse     bool // the links to the restarted workers stall until the leases of the former incarnations have expired
+	heldUp    bool // some commands are held up and executed by the next incarnation too
+	otherKind bool // half of the workers come back of another kind, and all tasks need the former one
 }
 
 // String describes the mix in the list of faults of a failed run.
 func (m restartMix) String() string {
-	return fmt.Sprintf("%.0f%% of the workers restart, down up to %v, twice %t, lower start time %t, entry %s, leaders %s, link fault %d, busy with tasks of %v",
-		100*m.share, m.down, m.twice, m.bornLess, [...]string{"at once", "late", "removed"}[m.entry], [...]string{"stay", "killed before", "killed after"}[m.leader], m.link, m.busyWork)
+	return fmt.Sprintf("%.0f%% of the workers restart, down up to %v, twice %t, lower start time %t, entry %s, leaders %s, link fault %d, busy with tasks of %v, lapse %t, overtake %t, held up %t, other kind %t",
+		100*m.share, m.down, m.twice, m.bornLess, [...]string{"at once", "late", "removed"}[m.entry], [...]string{"stay", "killed before", "killed after"}[m.leader], m.link, m.busyWork,
+		m.lapse, m.overtake, m.heldUp, m.otherKind)
 }
 
 // idleRestarts is the mix in which all workers, which are idle, start again at once.
 var idleRestarts = restartMix{share: 1}
 
-// drawRestartMix draws idleRestarts or each part of a mix on its own.
-func drawRestartMix(rng *rand.Rand) restartMix {
+// drawRestartMix draws a mix of basic parts, and parts of a wider mix beside them.
+func drawRestartMix(mix Mix, rng *rand.Rand) restartMix {
+	m := drawBasicRestartMix(rng)
+	if mix >= MixWide {
+		m.overtake = rng.IntN(4) == 0
+	}
+	if mix >= MixOpen {
+		m.heldUp, m.otherKind, m.lapse = rng.IntN(2) == 0, rng.IntN(4) == 0, rng.IntN(4) == 0
+	}
+	return m
+}
+
+// drawBasicRestartMix draws idleRestarts or each part of a mix on its own.
+func drawBasicRestartMix(rng *rand.Rand) restartMix {
 	if rng.IntN(4) == 0 {
 		return idleRestarts
 	}
@@ -110,8 +131,8 @@
 }
 
 // RunRestartMixes is RunIdleRestarts with a drawn mix in each round.
-func RunRestartMixes(rounds int, seed uint64, size Size, program, folder string) (Result, error) {
-	return runRestarts(rounds, seed, size, program, folder, drawRestartMix)
+func RunRestartMixes(rounds int, seed uint64, mix Mix, size Size, program, folder string) (Result, error) {
+	return runRestarts(rounds, seed, size, program, folder, func(rng *rand.Rand) restartMix { return drawRestartMix(mix, rng) })
 }
 
 func runRestarts(rounds int, seed uint64, size Size, program, folder string, draw func(*rand.Rand) restartMix) (Result, error) {
@@ -149,10 +170,11 @@
 
 // run returns when all workers, hosts and links are healthy again.
 func (r *restartRound) run() {
+	r.setWorkerFaults()
 	if r.busyWork > 0 {
 		length := 2 * idleTime
 		r.group.Go(func() {
-			r.callers.submitAtRate(Load{JobsPerSecond: busyJobsPerSecond, TasksPerJob: 2, TaskMilliCores: 200, Work: r.busyWork, Length: length}, r.seed+jobSeedStride)
+			r.callers.submitAtRate(Load{JobsPerSecond: busyJobsPerSecond, TasksPerJob: 2, TaskMilliCores: 200, Work: r.busyWork, Length: length, Label: r.label()}, r.seed+jobSeedStride)
 		})
 	}
 	time.Sleep(idleTime + drawUpTo(r.rng, idleTime))
@@ -167,8 +189,29 @@
 	if r.leader == leadersKilledAfter {
 		r.killLeaders()
 	}
-	r.callers.submitAtRate(Load{JobsPerSecond: burstJobs / burstLength.Seconds(), TasksPerJob: 1, TaskMilliCores: 500, Work: burstTaskWork, Length: burstLength}, r.seed)
+	r.callers.submitAtRate(Load{JobsPerSecond: burstJobs / burstLength.Seconds(), TasksPerJob: 1, TaskMilliCores: 500, Work: burstTaskWork, Length: burstLength, Label: r.label()}, r.seed)
 	r.group.Wait()
+	r.cluster.setWorkerFaults(jobplatform.WorkerFaults{})
+}
+
+// setWorkerFaults starts the faults of all workers.
+func (r *restartRound) setWorkerFaults() {
+	var faults jobplatform.WorkerFaults
+	if r.overtake {
+		faults.MaxAnswerDelay = maxOvertaking
+	}
+	if r.heldUp {
+		faults.LateCommandRate, faults.LateCommandsOutlive = lateCommands, true
+	}
+	r.cluster.setWorkerFaults(faults)
+}
+
+// label returns the label that the tasks of the round need.
+func (r *restartRound) label() string {
+	if r.otherKind {
+		return jobplatform.DefaultKind
+	}
+	return ""
 }
 
 // killLeaders kills the hosts that lead a shard and starts them again later.
@@ -210,6 +253,7 @@
 	if r.bornLess {
 		options.BornEarlier = 1 + drawUpTo(r.rng, maxBornEarlier)
 	}
+	options.Kind = r.drawKind(w)
 	w.Crash()
 	if r.entry == entryRemoved {
 		w.Deregister()
@@ -220,7 +264,7 @@
 	} else {
 		w.proxy.Refuse()
 	}
-	if r.down == 0 && !r.twice && r.entry == entryAtOnce && r.link == LinkHealthy {
+	if r.down == 0 && !r.twice && r.entry == entryAtOnce && r.link == LinkHealthy && !r.lapse {
 		return
 	}
 	r.group.Go(func() {
@@ -233,6 +277,15 @@
 	})
 }
 
+// drawKind returns the kind that a worker comes back of. The first worker keeps its kind, so
+// that all tasks can run.
+func (r *restartRound) drawKind(w *worker) string {
+	if r.otherKind && w != r.cluster.workers[0] && r.rng.IntN(2) == 0 {
+		return otherKind
+	}
+	return jobplatform.DefaultKind
+}
+
 // disturb plays what happens to a worker after its restart.
 func (r *restartRound) disturb(w *worker, options jobplatform.BootOptions, again, entryDelay, linkFault time.Duration) {
 	w.proxy.SetFault(r.link)
@@ -246,6 +299,11 @@
 		time.Sleep(linkFault)
 		w.proxy.SetFault(LinkHealthy)
 	}
+	if r.lapse {
+		w.proxy.SetFault(LinkStalled)
+		time.Sleep(r.cluster.size.MaxLease + linkFault)
+		w.proxy.SetFault(LinkHealthy)
+	}
 	if r.entry != entryAtOnce {
 		time.Sleep(entryDelay)
 		w.Register()
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -37,9 +37,9 @@
 type fault func(cluster *Cluster, rng *rand.Rand) (string, func())
 
 // Run runs one seed: it starts a cluster of the given size with the scheduler
-// binary program, injects faults under load, and checks that everything settles.
+// binary program, injects faults of a mix under load, and checks that everything settles.
 // Logs and settings of the hosts go to the folder.
-func Run(seed uint64, size Size, program, folder string) (Result, error) {
+func Run(seed uint64, mix Mix, size Size, program, folder string) (Result, error) {
 	cluster, err := NewCluster(size, program, folder)
 	if err != nil {
 		return Result{}, err
@@ -51,7 +51,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { callers.run(ctx, callerCount) })
 	result := Result{Counts: callers.counts}
-	result.Faults = injectFaults(cluster, rand.New(rand.NewPCG(seed, seed)))
+	result.Faults = injectFaults(cluster, mix, rand.New(rand.NewPCG(seed, seed)))
 	stop()
 	group.Wait()
 	result.Unsettled = callers.awaitSettled()
@@ -71,7 +71,8 @@
 
 // injectFaults injects overlapping faults for faultPeriod, ends all of them and
 // returns their descriptions.
-func injectFaults(cluster *Cluster, rng *rand.Rand) []string {
+func injectFaults(cluster *Cluster, mix Mix, rng *rand.Rand) []string {
+	faults := mix.faults()
 	var descriptions []string
 	type activeFault struct {
 		until time.Time
@@ -114,6 +115,7 @@
 		final[id] = c.queryState(rng, client, id)
 		return final[id]
 	}
+	c.cluster.Checker.CheckUnknownJob(unknownJob, c.queryUnknown(rng, client))
 	var unsettled []string
 	for began := time.Now(); time.Since(began) < settleTimeout; time.Sleep(settlePollInterval) {
 		if unsettled = c.cluster.Checker.Unsettled(state); len(unsettled) == 0 {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/tamarackstep/tamarackstep/standin/jobplatform"
 )
 
 // ciSeeds run in every CI build. A seed that has failed is added with a line on
@@ -19,6 +21,31 @@
 	30, // DUPLICATE: the stand-in's worker did not notice that its lease expired while nothing ran
 }
 
+// wideSeeds are those of MixWide.
+var wideSeeds = []uint64{1}
+
+// wideSize returns the size of a run of MixWide or MixOpen.
+func wideSize(seed uint64) Size {
+	size := defaultSize(seed)
+	size.Overcommits = seed%2 == 0
+	if seed%3 == 0 {
+		size.MaxLease = 10 * time.Second
+	}
+	return size
+}
+
+// mixFromEnvironment returns the mix that SOAK_MIX names (wide or open), and the sizes of its
+// runs.
+func mixFromEnvironment() (Mix, func(seed uint64) Size) {
+	switch os.Getenv("SOAK_MIX") {
+	case "wide":
+		return MixWide, wideSize
+	case "open":
+		return MixOpen, wideSize
+	}
+	return MixBasic, defaultSize
+}
+
 // defaultSize returns the size of a run: seeds with odd numbers run with three shards.
 func defaultSize(seed uint64) Size {
 	size := Size{Hosts: 3, Workers: 5}
@@ -54,8 +81,8 @@
 }
 
 // runSeed runs a seed and reports its violations.
-func runSeed(t *testing.T, seed uint64, size Size, program string) {
-	result, err := Run(seed, size, program, logFolder(t, fmt.Sprint(seed)))
+func runSeed(t *testing.T, seed uint64, mix Mix, size Size, program string) {
+	result, err := Run(seed, mix, size, program, logFolder(t, fmt.Sprintf("%v%d", mix, seed)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +112,13 @@
 	for _, seed := range ciSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, defaultSize(seed), program)
+			runSeed(t, seed, MixBasic, defaultSize(seed), program)
+		})
+	}
+	for _, seed := range wideSeeds {
+		t.Run(fmt.Sprintf("wide-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed, MixWide, wideSize(seed), program)
 		})
 	}
 }
@@ -108,8 +141,8 @@
 var restartSeeds = []uint64{1, 8, 9}
 
 // runRestartSeed runs mixes of restarts of one seed and reports the violations.
-func runRestartSeed(t *testing.T, seed uint64, rounds int, program string) {
-	result, err := RunRestartMixes(rounds, seed, defaultSize(seed), program, logFolder(t, fmt.Sprintf("restarts-%d", seed)))
+func runRestartSeed(t *testing.T, seed uint64, rounds int, mix Mix, size Size, program string) {
+	result, err := RunRestartMixes(rounds, seed, mix, size, program, logFolder(t, fmt.Sprintf("restarts-%v%d", mix, seed)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,15 +159,16 @@
 	for _, seed := range restartSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runRestartSeed(t, seed, rounds, program)
+			runRestartSeed(t, seed, rounds, MixBasic, defaultSize(seed), program)
 		})
 	}
 }
 
 // TestRestartMixSeeds guards against the same failures with the seeds that SOAK_RESTART_SEEDS
-// names, as SOAK_SEEDS does.
+// names, as SOAK_SEEDS does, and the mix that SOAK_MIX names.
 func TestRestartMixSeeds(t *testing.T) {
 	const rounds = 4
+	mix, size := mixFromEnvironment()
 	seeds := parseSeeds(t, os.Getenv("SOAK_RESTART_SEEDS"))
 	if len(seeds) == 0 {
 		t.Skip("SOAK_RESTART_SEEDS is not set")
@@ -143,14 +177,29 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runRestartSeed(t, seed, rounds, program)
+			runRestartSeed(t, seed, rounds, mix, size(seed), program)
 		})
 	}
 }
 
+// TestManyEnds guards against tasks that run again although they are done, because their ends
+// do not fit into the first answer of a worker to a new leader.
+func TestManyEnds(t *testing.T) {
+	t.Parallel()
+	const seed = 1
+	result, err := RunManyEnds(seed, buildProgram(t), logFolder(t, "many-ends"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report(t, seed, result)
+	if most := result.Counts["most ends"]; most <= jobplatform.MaxListedEnds {
+		t.Errorf("a worker had to list at most %d ends, want more than one answer holds", most)
+	}
+}
+
 // TestSoakSeeds guards against the same failures with other seeds: those that
 // SOAK_SEEDS names (a list of numbers and ranges A-B), and random ones for
-// SOAK_SECONDS. It prints the seed of a failure.
+// SOAK_SECONDS, with the mix that SOAK_MIX names. It prints the seed of a failure.
 func TestSoakSeeds(t *testing.T) {
 	seeds := parseSeeds(t, os.Getenv("SOAK_SEEDS"))
 	seconds, err := strconv.Atoi("0" + os.Getenv("SOAK_SECONDS"))
@@ -160,7 +209,7 @@
 	if len(seeds) == 0 && seconds == 0 {
 		t.Skip("neither SOAK_SEEDS nor SOAK_SECONDS is set")
 	}
-	size := defaultSize
+	mix, size := mixFromEnvironment()
 	if hosts, err := strconv.Atoi(os.Getenv("SOAK_HOSTS")); err == nil {
 		size = func(uint64) Size { return Size{Hosts: hosts, Workers: 2 * hosts, ShardWorkers: max(hosts/2, 1)} }
 	}
@@ -168,12 +217,12 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, size(seed), program)
+			runSeed(t, seed, mix, size(seed), program)
 		})
 	}
 	for began := time.Now(); time.Since(began) < time.Duration(seconds)*time.Second; {
 		seed := rand.Uint64N(1 << 32)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, size(seed), program) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, mix, size(seed), program) })
 	}
 }
 
