--- a/standin/jobplatform/store.go
+++ b/standin/jobplatform/store.go
@@ -1,6 +1,7 @@
 package jobplatform
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -20,15 +21,17 @@
 	Hang           bool          // no request is answered
 	Delay          time.Duration // delay of each request
 	LostAnswerRate float64       // share of the transactions that take effect without an answer, 0 to 1
-	LateCommitRate float64       // share of the transactions that take effect up to maxLateCommit later, without an answer, 0 to 1
+	LateCommitRate float64       // share of the transactions that take effect up to MaxLateCommit later, without an answer, 0 to 1
+	MaxLateCommit  time.Duration // 0: defaultMaxLateCommit
+	MaxHistory     int           // changes that are kept; 0: maxHistoryRows
 }
 
 const (
-	maxPageRows    = 500             // in one answer
-	maxLateCommit  = 3 * time.Second // delay within which a late transaction takes effect
-	maxHistoryRows = 20_000          // older changes are discarded
-	maxFeedWait    = 30 * time.Second
-	commitLatency  = 4 * time.Millisecond
+	maxPageRows          = 500             // in one answer
+	defaultMaxLateCommit = 3 * time.Second // delay within which a late transaction takes effect
+	maxHistoryRows       = 20_000          // older changes are discarded
+	maxFeedWait          = 30 * time.Second
+	commitLatency        = 4 * time.Millisecond
 )
 
 // Limits of the store. A transaction over one of them is answered with 400.
@@ -109,6 +112,19 @@
 	s.notifyWaiters()
 }
 
+// Rows returns the rows of a table in all partitions, in no order.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []Row
+	for id, row := range s.rows {
+		if id.table == table {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
 // set applies a change at the current version and appends it to the history.
 func (s *Store) set(r Row) {
 	r.RowVersion = s.version
@@ -119,9 +135,9 @@
 		s.rows[id] = r
 	}
 	s.history = append(s.history, r)
-	if len(s.history) > maxHistoryRows {
-		s.compactedTo = s.history[0].RowVersion
-		s.history = s.history[1:]
+	if extra := len(s.history) - cmp.Or(s.faults.MaxHistory, maxHistoryRows); extra > 0 {
+		s.compactedTo = s.history[extra-1].RowVersion
+		s.history = s.history[extra:]
 	}
 }
 
@@ -179,7 +195,7 @@
 	}
 	switch draw := rand.Float64(); {
 	case draw < faults.LateCommitRate:
-		time.AfterFunc(time.Duration(rand.Int64N(int64(maxLateCommit))), func() { s.commit(t) })
+		time.AfterFunc(rand.N(cmp.Or(faults.MaxLateCommit, defaultMaxLateCommit)), func() { s.commit(t) })
 		panic(http.ErrAbortHandler)
 	case draw < faults.LateCommitRate+faults.LostAnswerRate:
 		s.commit(t)
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -19,6 +19,7 @@
 	TaskMilliCores int64
 	Work           time.Duration // of each task
 	Length         time.Duration // during which jobs arrive
+	Label          string        // that workers must have; empty: any worker
 }
 
 // LoadReport is what a load cost the hosts and how its jobs fared. The processor
@@ -61,7 +62,7 @@
 		return LoadReport{}, err
 	}
 	callers := &callerPool{cluster: cluster, counts: make(map[string]int)}
-	callers.submitAtRate(load)
+	callers.submitAtRate(load, callers.seed)
 	unsettled := callers.awaitSettled()
 	after, err := cluster.hostCPU()
 	if err != nil {
@@ -88,9 +89,10 @@
 	return all, nil
 }
 
-// submitAtRate submits the jobs of a load and returns once all have an answer.
-func (c *callerPool) submitAtRate(load Load) {
-	rng := rand.New(rand.NewPCG(c.seed, 0))
+// submitAtRate submits the jobs of a load and returns once all have an answer. The seed
+// determines their IDs.
+func (c *callerPool) submitAtRate(load Load, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
 	interval := time.Duration(float64(time.Second) / load.JobsPerSecond)
 	ctx, cancel := context.WithTimeout(context.Background(), load.Length)
 	defer cancel()
@@ -120,10 +122,10 @@
 		panic(err) // a struct of integers always encodes
 	}
 	record := jobplatform.JobRecord{
-		Spec: string(spec), TaskCounts: []int{l.TasksPerJob}, Dependencies: [][]int{nil}, MilliCores: []int64{l.TaskMilliCores}, MaxAttempts: 3,
+		Spec: string(spec), TaskCounts: []int{l.TasksPerJob}, Dependencies: [][]int{nil}, MilliCores: []int64{l.TaskMilliCores}, MaxAttempts: 3, Labels: []string{l.Label},
 	}
 	body, err := json.Marshal(map[string]any{"Spec": record.Spec, "Steps": []jobStep{{
-		Count: l.TasksPerJob, Cpu: l.TaskMilliCores, MemMb: 100, EstimatedMs: l.Work.Milliseconds(),
+		Count: l.TasksPerJob, Cpu: l.TaskMilliCores, MemMb: 100, EstimatedMs: l.Work.Milliseconds(), Requirements: l.Label,
 	}}})
 	if err != nil {
 		panic(err)
