scheduler: a restart bounds leases only where the new clock is behind

An incarnation whose clock is ahead of all lease ends that were sent took them for over and granted nothing, so that no bound is needed. TestClockAheadShortensWait fails without the rule.

--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -125,7 +125,7 @@
 	}
 	if o.Incarnation != 0 && w.incarnation != 0 && o.Incarnation != w.incarnation {
 		w.removeRun(r)
-		w.handleRestart(o.Incarnation, shownByCommand)
+		w.handleRestart(o.Incarnation, o.ClockMS, shownByCommand)
 		w.addRun(r)
 	}
 }
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -188,7 +188,7 @@
 	if r := l.workers["w00"].runs; len(r) != 1 {
 		t.Fatalf("%d runs on the worker, want 1", len(r))
 	}
-	l.workers["w00"].handleRestart(f.incarnation, shownByLists)
+	l.workers["w00"].handleRestart(f.incarnation, 0, shownByLists)
 	sim.waitFor(12*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	if f.starts != 1 {
 		t.Errorf("%d starts of one task, want 1", f.starts)
@@ -332,7 +332,7 @@
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	l.unreconciled["w00"] = true
-	l.workers["w00"].handleRestart(1, shownByCommand)
+	l.workers["w00"].handleRestart(1, 0, shownByCommand)
 	if !l.unreconciled["w00"] {
 		t.Error("the runs of former leaders count as known before the lists of the next incarnation are read")
 	}
@@ -355,26 +355,68 @@
 	sim.advance(2 * maxLeaseDuration(testBounds))
 }
 
+// TestClockAheadShortensWait guards against tasks that wait for the longest lease after a worker
+// restarted and was lost: the clock of the next incarnation was ahead, so that it took the
+// lease ends that were meant for the former one for over.
+func TestClockAheadShortensWait(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	w, f := l.workers["w00"], sim.workers["w00"]
+	ahead := f.clock() + time.Hour.Milliseconds()
+	f.crash()
+	f.boot()
+	f.clockOrigin = ahead
+	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.acceptsStarts() })
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
+	f.crash()
+	sim.waitFor(maxLeaseDuration(testBounds)+syncWait+syncTimeoutSlack, "the start elsewhere", func() bool { return sim.workers["w01"].starts == 1 })
+}
+
 // TestLeaseOfUnnoticedRestart guards against the same when no answer has shown the restart: the
 // next incarnation carries a start out and falls silent, and only its entry is read.
 func TestLeaseOfUnnoticedRestart(t *testing.T) {
+	for _, outcome := range []startOutcome{startAnswered, startUnanswered} {
+		sim := newSimulation(t, 1, 2)
+		sim.waitForLeader()
+		l := sim.leader().state.leaderOf(0)
+		f := sim.workers["w00"]
+		sim.advance(maxLeaseDuration(testBounds))
+		l.workers["w01"].pauseStarts(200 * time.Millisecond)
+		f.unlisted = true
+		f.restartAccepting()
+		f.onStart = func(StartTask) startOutcome {
+			sim.after(time.Millisecond, func() { f.disconnected = true })
+			return outcome
+		}
+		sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+		sim.waitFor(4*time.Second, "start", func() bool { return f.starts == 1 })
+		sim.advance(10 * time.Millisecond)
+		f.writeEntry(false)
+		sim.advance(2 * maxLeaseDuration(testBounds))
+	}
+}
+
+// TestStartOvertakesLists guards against a second run of a task when the lists that show a
+// restart were sent before the run began there, and the answer to its start overtakes them.
+func TestStartOvertakesLists(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	f := sim.workers["w00"]
-	sim.advance(maxLeaseDuration(testBounds))
-	l.workers["w01"].pauseStarts(200 * time.Millisecond)
-	f.unlisted = true
+	var fate callFate
+	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return fate }}
 	f.restartAccepting()
-	f.onStart = func(StartTask) startOutcome {
-		sim.after(time.Millisecond, func() { f.disconnected = true })
-		return startAnswered
-	}
-	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
-	sim.waitFor(4*time.Second, "start", func() bool { return f.starts == 1 })
-	sim.advance(10 * time.Millisecond)
-	f.writeEntry(false)
-	sim.advance(2 * maxLeaseDuration(testBounds))
+	fate.answerDelay = 300 * time.Millisecond
+	sim.waitFor(4*time.Second, "a sync on its way", func() bool { return l.workers["w00"].syncInFlight })
+	fate.answerDelay = 0
+	l.workers["w01"].pauseStarts(200 * time.Millisecond)
+	l.workers["w00"].entry.Incarnation = 0 // the entry is not read yet
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 5*time.Second, 1000))
+	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
+	sim.advance(3 * time.Second)
 }
 
 // TestLabelsOfNextIncarnation guards against a start by the labels of a worker's former
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -117,7 +117,7 @@
 		return
 	}
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
-		w.handleRestart(h.Incarnation, shownByLists)
+		w.handleRestart(h.Incarnation, h.ClockMS, shownByLists)
 	}
 	l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || w.endPublished
 	w.failedSyncs = 0
