scheduler: what a commit stored decides, not what has changed since

TWICE: a job was named in the row of another shard, or a part of it written for one, before the mark of the move or the list of parts was stored: the answer to an earlier commit of the job's progress counted as theirs. With the leader lost in that moment and the move performed late, two shards ran the job; a final state could count as stored in the same way. The answer to a commit now acts on the rows that it stored.

--- a/core/scheduler/commititems.go
+++ b/core/scheduler/commititems.go
@@ -128,7 +128,7 @@
 			j.claimStored = true
 			l.schedule.requestPass()
 		}
-		l.progressStored(j)
+		l.progressStored(j, item.write.Value.(ProgressRow).Progress)
 	case itemProgressGroup:
 		if j := l.jobs[item.job]; j != nil {
 			j.markGroupStored(item.group)
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -305,7 +305,7 @@
 	policy := l.state.config.policyOf(&j.Job)
 	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
 	l.openJobs = append(l.openJobs, j)
-	l.writeParts(j)
+	l.writeParts(j, j.Given)
 	if j.Moving {
 		l.continueMove(j)
 		return
@@ -458,15 +458,16 @@
 	l.commits.newClaims[j.ID] = true
 }
 
-// progressStored is called when a job's progress has been stored.
-func (l *leaderState) progressStored(j *job) {
-	if j.Moving {
+// progressStored is called when the progress of a job has been stored. The job may have
+// changed since that commit was sent.
+func (l *leaderState) progressStored(j *job, stored structs.Progress) {
+	if stored.Moving {
 		l.continueMove(j)
 		return
 	}
-	l.writeParts(j)
-	if j.storedState != j.State && j.State.Final() {
-		l.state.logDecision(Decision{Part: "job", Action: "final state stored", Subject: string(j.ID), Reason: string(j.State), Age: l.state.now - j.finalAt})
+	l.writeParts(j, stored.Given)
+	if j.storedState != stored.State && stored.State.Final() {
+		l.state.logDecision(Decision{Part: "job", Action: "final state stored", Subject: string(j.ID), Reason: string(stored.State), Age: l.state.now - j.finalAt})
 	}
-	j.storedState = j.State
+	j.storedState = stored.State
 }
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// writeParts writes the rows of the parts that this leader has not written yet.
-func (l *leaderState) writeParts(j *job) {
-	for _, part := range j.Given {
+// writeParts writes the rows of stored parts that this leader has not written yet.
+func (l *leaderState) writeParts(j *job, stored []structs.JobPart) {
+	for _, part := range stored {
 		if !j.writtenParts[part.Key] {
 			l.writePart(j, part)
 		}
