scheduler: syncs grant no lease to workers without runs

The sync that shows the restart of an idle worker needs no lease end, so that the next incarnation cannot take one for a longer lease; the bound remains where the sync had one or runs are kept. TestIdleWorkerGrantsNoLease fails without the rule; TestLeaseOfSyncAcrossRestart and TestClockAheadShortensWait now restart a busy worker, between two syncs (make proofs).

--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -43,6 +43,14 @@
 	w.leader.commits.usedWorkersChanged = true
 }
 
+// boundLeasesAhead does so unless the clock of this incarnation is known to be ahead of the
+// latest lease end that was sent to the former one: it grants no lease until such an end.
+func (w *worker) boundLeasesAhead(clockMS, formerLeaseEnd int64) {
+	if clockMS == 0 || formerLeaseEnd == 0 || clockMS < formerLeaseEnd {
+		w.boundLeases()
+	}
+}
+
 // leasesStored reports whether a later leader learns of the leases that boundLeases bounds.
 func (w *worker) leasesStored() bool {
 	return w.storedLeasesEndBy >= w.leasesEndBy || w.leader.state.now >= w.leasesEndBy
@@ -125,7 +133,8 @@
 	}
 	if o.Incarnation != 0 && w.incarnation != 0 && o.Incarnation != w.incarnation {
 		w.removeRun(r)
-		w.handleRestart(o.Incarnation, o.ClockMS, shownByCommand)
+		w.handleRestart(o.Incarnation, shownByCommand)
+		w.boundLeases()
 		w.addRun(r)
 	}
 }
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -94,11 +94,10 @@
 	shownByCommand = "the answer to a command"
 )
 
-// handleRestart handles a new incarnation of the worker, whose clock shows clockMS (0: not
-// known). The runs that the old one is
+// handleRestart handles a new incarnation of the worker. The runs that the old one is
 // known to have confirmed ended with it. The new one may have carried out the other
 // starts, so that these runs are kept until its lists are read.
-func (w *worker) handleRestart(incarnation, clockMS int64, shownBy string) {
+func (w *worker) handleRestart(incarnation int64, shownBy string) {
 	l := w.leader
 	l.state.logDecision(Decision{
 		Part: "worker", Action: "started again", Subject: string(w.id), Number: uint64(incarnation), Reason: shownBy, Age: l.state.now - w.answeredSyncSentAt,
@@ -117,9 +116,6 @@
 			Reason: "the next incarnation may have started it", Age: l.state.now - r.startSentAt,
 		})
 	}
-	if clockMS == 0 || w.sentLeaseEnd == 0 || clockMS < w.sentLeaseEnd {
-		w.boundLeases()
-	}
 	w.incarnationSeenAt = l.state.now
 	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
 	w.acks = ackState{inFlight: w.acks.inFlight}
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -188,7 +188,7 @@
 	if r := l.workers["w00"].runs; len(r) != 1 {
 		t.Fatalf("%d runs on the worker, want 1", len(r))
 	}
-	l.workers["w00"].handleRestart(f.incarnation, 0, shownByLists)
+	l.workers["w00"].handleRestart(f.incarnation, shownByLists)
 	sim.waitFor(12*time.Second, "completion", func() bool { return sim.jobState(jobA) == structs.JobCompleted })
 	if f.starts != 1 {
 		t.Errorf("%d starts of one task, want 1", f.starts)
@@ -332,26 +332,42 @@
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	l.unreconciled["w00"] = true
-	l.workers["w00"].handleRestart(1, 0, shownByCommand)
+	l.workers["w00"].handleRestart(1, shownByCommand)
 	if !l.unreconciled["w00"] {
 		t.Error("the runs of former leaders count as known before the lists of the next incarnation are read")
 	}
 }
 
-// TestLeaseOfSyncAcrossRestart guards against a second run of a task on a worker that falls
-// silent: the sync that showed its restart was meant for the former incarnation and granted
-// the longest lease, since the clock of the next one is behind.
-func TestLeaseOfSyncAcrossRestart(t *testing.T) {
+// restartBusyWorker starts a task on w00 and then, between two syncs, its next incarnation,
+// whose clock shows clockMS, waits until the task has been started there again, and ends the worker.
+func restartBusyWorker(t *testing.T, clockMS func(former int64) int64, end func(*fakeWorker)) *simulation {
+	t.Helper()
 	sim := newSimulation(t, 1, 2)
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	w, f := l.workers["w00"], sim.workers["w00"]
-	f.restartAccepting()
-	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.acceptsStarts() })
-	l.workers["w01"].pauseStarts(200 * time.Millisecond)
-	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
-	sim.waitFor(time.Second, "start", func() bool { return f.starts == 1 })
-	f.disconnected = true
+	l.workers["w01"].pauseStarts(5 * time.Second)
+	job := singleStepJob(1, time.Minute, 1000)
+	job.Steps[0].Persistent = true
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	sim.advance(2 * time.Second)
+	sim.waitFor(time.Second, "the end of a sync", func() bool { return !w.syncInFlight })
+	former := f.clock()
+	f.crash()
+	f.boot()
+	f.clockOrigin = clockMS(former)
+	sim.waitFor(5*time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
+	l.workers["w01"].startsPausedUntil = 0
+	sim.advance(20 * time.Millisecond)
+	end(f)
+	return sim
+}
+
+// TestLeaseOfSyncAcrossRestart guards against a second run of a task on a worker that falls
+// silent: the sync that showed its restart was meant for the former incarnation and granted
+// the longest lease, since the clock of the next one is behind.
+func TestLeaseOfSyncAcrossRestart(t *testing.T) {
+	sim := restartBusyWorker(t, func(former int64) int64 { return former / 2 }, func(f *fakeWorker) { f.disconnected = true })
 	sim.advance(2 * maxLeaseDuration(testBounds))
 }
 
@@ -359,14 +375,19 @@
 // restarted and was lost: the clock of the next incarnation was ahead, so that it took the
 // lease ends that were meant for the former one for over.
 func TestClockAheadShortensWait(t *testing.T) {
+	sim := restartBusyWorker(t, func(former int64) int64 { return former + time.Hour.Milliseconds() }, (*fakeWorker).crash)
+	sim.waitFor(maxLeaseDuration(testBounds)+syncWait+syncTimeoutSlack, "the start elsewhere", func() bool { return sim.workers["w01"].starts == 1 })
+}
+
+// TestIdleWorkerGrantsNoLease guards against tasks that wait for the longest lease after an idle
+// worker restarted and was lost soon after.
+func TestIdleWorkerGrantsNoLease(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	w, f := l.workers["w00"], sim.workers["w00"]
-	ahead := f.clock() + time.Hour.Milliseconds()
-	f.crash()
-	f.boot()
-	f.clockOrigin = ahead
+	sim.advance(testBounds.MaxLease)
+	f.restartAccepting()
 	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.acceptsStarts() })
 	l.workers["w01"].pauseStarts(200 * time.Millisecond)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -62,10 +62,13 @@
 	}
 	w.acks.inFlight = e.AckedThrough > 0
 	// The lease of a worker that does not answer is not renewed: otherwise each sync
-	// would postpone the time after which its runs are certainly over.
+	// would postpone the time after which its runs are certainly over. A worker without runs
+	// needs no lease, and a later incarnation could take its end for a longer one.
 	if (w.listsRead || w.moreEnded) && w.failedSyncs == 0 && !w.endPublished {
-		e.LeaseEndMS = w.newLeaseEnd(l.state.now, l.state.bounds)
-		w.recordLeaseEnd(e.LeaseEndMS)
+		if len(w.runs) > 0 {
+			e.LeaseEndMS = w.newLeaseEnd(l.state.now, l.state.bounds)
+			w.recordLeaseEnd(e.LeaseEndMS)
+		}
 		e.Wait = w.syncWaitTime()
 	}
 	e.Timeout = e.Wait + syncTimeoutSlack
@@ -117,7 +120,11 @@
 		return
 	}
 	if w.incarnation != 0 && h.Incarnation != 0 && h.Incarnation != w.incarnation {
-		w.handleRestart(h.Incarnation, h.ClockMS, shownByLists)
+		former := w.sentLeaseEnd
+		w.handleRestart(h.Incarnation, shownByLists)
+		if e.LeaseEndMS > 0 || len(w.runs) > 0 {
+			w.boundLeasesAhead(h.ClockMS, former)
+		}
 	}
 	l.commits.usedWorkersChanged = l.commits.usedWorkersChanged || w.endPublished
 	w.failedSyncs = 0
