scheduler: a start is not on its way for longer than its leader's lease

Two runs of one task by a leader that was cut off from the store: a start in a slow dial, ordered at the end of its lease, arrived after the next leader had read the lists of the worker, which then restarted and knew no epoch.

--- a/core/scheduler/restart_lease_test.go
+++ b/core/scheduler/restart_lease_test.go
@@ -120,3 +120,34 @@
 		t.Errorf("%d starts of one task, want 1", n)
 	}
 }
+
+// TestStartEndsWithLease guards against the same by a leader that is cut off from the store: a
+// start that it orders at the end of its lease must not arrive after the next leader has read
+// the worker's lists.
+func TestStartEndsWithLease(t *testing.T) {
+	sim := newSimulation(t, 2, 2)
+	sim.waitForLeader()
+	h := sim.leader()
+	l := h.state.leaderOf(0)
+	for _, id := range l.workerIDs {
+		l.workers[id].pauseStarts(time.Hour)
+	}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	l.claim(l.jobs[jobA])
+	h.deliver(TimerFired{})
+	sim.advance(200 * time.Millisecond)
+	h.storeCut = true
+	sim.advance(leaderLease - 600*time.Millisecond)
+	ordered := false
+	sim.workers["w00"].onStart = func(e StartTask) startOutcome {
+		ordered = true
+		if left := e.NotAfter - h.state.now; e.Timeout > left {
+			t.Errorf("the start may take %v, and the lease ends in %v", e.Timeout, left)
+		}
+		return startAnswered
+	}
+	l.workers["w00"].startsPausedUntil = 0
+	l.schedule.requestPass()
+	h.deliver(TimerFired{})
+	sim.waitFor(time.Second, "a start", func() bool { return ordered })
+}
