--- a/core/scheduler/restart_fuzz_test.go
+++ b/core/scheduler/restart_fuzz_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -330,23 +329,16 @@
 	return true
 }
 
-// TestRestartWithLateOrders does the same with orders without an answer that are carried
-// out seconds later, also by the next incarnation of their worker. It runs only if
-// LATE_ORDERS is set: the scheduler does not withstand such orders yet.
+// TestRestartWithLateOrders guards against the same with orders without an answer that are
+// carried out seconds later, also by the next incarnation of their worker.
 func TestRestartWithLateOrders(t *testing.T) {
-	if os.Getenv("LATE_ORDERS") == "" {
-		t.Skip("LATE_ORDERS is not set")
-	}
 	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) { checkRestarts(rt, restartFaults{lateOrders: true}) })
 }
 
-// TestRestartWithKeptCursor does the same with workers that keep the highest acknowledged
-// number, and also discard later ends up to it.
+// TestRestartWithKeptCursor guards against the same with workers that keep the highest
+// acknowledged number, and also discard later ends up to it.
 func TestRestartWithKeptCursor(t *testing.T) {
-	if os.Getenv("LATE_ORDERS") == "" {
-		t.Skip("LATE_ORDERS is not set")
-	}
 	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) { checkRestarts(rt, restartFaults{keepsCursor: true}) })
 }
--- a/core/scheduler/restart_lease_test.go
+++ b/core/scheduler/restart_lease_test.go
@@ -151,3 +151,37 @@
 	h.deliver(TimerFired{})
 	sim.waitFor(time.Second, "a start", func() bool { return ordered })
 }
+
+// TestLeaseOfFormerLeadersSync guards against a second run of a task by a new leader on a worker
+// that falls silent: the last sync of the former leader reached the next incarnation, which
+// granted the longest lease, and nothing shows the new leader that there was another one.
+func TestLeaseOfFormerLeadersSync(t *testing.T) {
+	sim := newSimulation(t, 2, 2)
+	sim.waitForLeader()
+	h := sim.leader()
+	l := h.state.leaderOf(0)
+	f := sim.workers["w00"]
+	l.workers["w01"].pauseStarts(time.Second)
+	job := singleStepJob(1, time.Second, 1000)
+	job.Steps[0].Persistent = true
+	sim.submitAndWait(sim.hosts[0], jobB, job)
+	sim.advance(2 * time.Second)
+	var fate callFate
+	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return fate }}
+	sim.waitFor(time.Second, "no sync in flight", func() bool { return !l.workers["w00"].syncInFlight })
+	f.unlisted = true
+	f.restartAccepting()
+	fate.answerDelay = 300 * time.Millisecond
+	sim.waitFor(5*time.Second, "the lease by the next incarnation", func() bool { return f.leaseEnd > 0 })
+	h.deliver(StopRequested{})
+	fate.answerDelay = 0
+	sim.waitFor(3*time.Second, "the next leader", func() bool { return sim.leader() != nil && sim.leader() != h })
+	n := sim.leader().state.leaderOf(0)
+	f.writeEntry(false)
+	sim.waitFor(3*time.Second, "the lists", func() bool { return n.workers["w00"] != nil && n.workers["w00"].acceptsStarts() })
+	n.workers["w01"].pauseStarts(time.Second)
+	sim.submitAndWait(sim.leader(), jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(time.Second, "the start", func() bool { return len(f.runs) > 0 })
+	f.disconnected = true
+	sim.advance(2 * testBounds.MaxLease)
+}
