control: a takeover sends the throttle commands of adopted runs in steps

The share of an adopted run is unknown, so the first policy step of a new owner sent one command for each run in a single event: 600 for 600 runs, which also fills the pool of requests to workers. A step now sends at most 64 and goes on in a later event. TestAdoptedRunsAreThrottledInSteps: 600 commands in one event before, at most 64 after.

--- a/core/control/tasks_learn.go
+++ b/core/control/tasks_learn.go
@@ -104,7 +104,7 @@
 		share := policy.ShareAt(w.throttle.Pressure)
 		record.Action = fmt.Sprintf("batch gets %.0f%% of its processors", 100*share)
 		s.recordDecision(record)
-		s.throttleBatch(o, w)
+		s.throttleBatch(o, w, itemsPerStep) // the policy step sends the others
 		s.capacityChanged(o)
 	case policy.ThrottleCheckpoint:
 		if t := s.mostInterferingBatch(o, w); t != nil && o.tasks.evictions.Take(s.now, 1) {
@@ -139,29 +139,34 @@
 }
 
 // throttleBatch limits the batch runs on a worker to the share of processors for
-// its current pressure.
-func (s *State) throttleBatch(o *ownedPartition, w *workerState) {
+// its current pressure. It returns the number of commands sent, at most limit: a
+// worker may have hundreds of adopted runs, whose share is unknown.
+func (s *State) throttleBatch(o *ownedPartition, w *workerState, limit int) (sent int) {
 	share := policy.ShareAt(w.throttle.Pressure)
 	for _, c := range w.row.Commitments {
 		t := o.tasks.byID[c.Task]
-		if t != nil && t.isRun(RunRef{c.Task, c.Run}) && t.row.Kind == structs.KindBatch && t.run.running {
-			s.throttleRun(o, t, w, share)
+		if sent == limit {
+			break
+		}
+		if t != nil && t.isRun(RunRef{c.Task, c.Run}) && t.row.Kind == structs.KindBatch && t.run.running && s.throttleRun(o, t, w, share) {
+			sent++
 		}
 	}
+	return sent
 }
 
 // policyStep runs periodically: it repeats throttle commands whose outcome is
 // unknown and clears the pressure on workers without a service that has a latency
-// target.
+// target. Each event sends at most itemsPerStep commands.
 func (s *State) policyStep(p *partition) {
 	o := p.owned
 	if o == nil || !o.loaded || s.now < o.tasks.nextPolicy {
 		// The timer was set before the partition was lost and acquired again.
 		return
 	}
-	o.tasks.nextPolicy = s.now + policyStepInterval
-	s.setTimer(o.tasks.nextPolicy, timerPolicy, uint64(p.id))
-	for _, w := range o.tasks.workerList {
+	t, sent := &o.tasks, 0
+	for ; t.policyCursor < len(t.workerList); t.policyCursor++ {
+		w := t.workerList[t.policyCursor]
 		if w.boot == "" || w.unresponsive {
 			continue
 		}
@@ -169,8 +174,16 @@
 			s.recordDecision(DecisionRecord{Part: "worker", Action: "batch gets all of its processors", Subject: string(w.id), Reason: "no service with a latency target is left there"})
 			s.capacityChanged(o)
 		}
-		s.throttleBatch(o, w)
+		sent += s.throttleBatch(o, w, itemsPerStep-sent)
+		if sent == itemsPerStep {
+			// The next step continues with this worker; the commands in flight are not repeated.
+			s.setTimer(s.now+workStepDelay, timerPolicy, uint64(p.id))
+			return
+		}
 	}
+	t.policyCursor = 0
+	t.nextPolicy = s.now + policyStepInterval
+	s.setTimer(t.nextPolicy, timerPolicy, uint64(p.id))
 }
 
 // hasLatencyTarget reports whether a service with a latency target is committed
--- a/core/control/tasks_run.go
+++ b/core/control/tasks_run.go
@@ -182,16 +182,18 @@
 	c.t.run.checkpointAccepted = r.Outcome == OutcomeDone
 }
 
-// throttleRun limits a run to a share of its processors.
-func (s *State) throttleRun(o *ownedPartition, t *task, w *workerState, share policy.Share) {
+// throttleRun limits a run to a share of its processors. It reports whether a
+// command was needed.
+func (s *State) throttleRun(o *ownedPartition, t *task, w *workerState, share policy.Share) bool {
 	if t.run.throttleInFlight || t.run.share == share {
-		return
+		return false
 	}
 	t.run.throttleInFlight = true
 	s.emit(ThrottleTask{
 		WorkerCommand: s.command(o, w, throttleOutcome{runCommand{o, t, t.ref()}, share}),
 		Ref:           t.ref(), Share: float64(share),
 	})
+	return true
 }
 
 // throttleOutcome handles the outcome of a throttle command.
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -56,6 +56,7 @@
 	evictions        policy.EvictionBudget
 	interference     *policy.Interference
 	policyScheduled  bool
+	policyCursor     int // worker in workerList with which the current policy step continues
 }
 
 // slotKey identifies one task index of a sheet row. A service may have several
