control: claims and results of orders stay within one transaction of the store

The store takes 100 entries and 1 MB in a transaction. A batch held 128 claims with a condition each, and results by the size of their bodies before encoding, so that it was refused as a whole and repeated for ever: no order was served by that host any more. A batch is now filled by entries and by an upper bound of the encoded size (structs.RowBytes).

--- a/core/control/claims_batch.go
+++ b/core/control/claims_batch.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	claimWritesPerSecond   = 200       // of all entry hosts together
-	maxClaimsPerCommit     = 128       // claims in one transaction
-	maxClaimBytesPerCommit = 512 << 10 // recorded bodies in one transaction
+	claimWritesPerSecond = 200                               // of all entry hosts together
+	maxClaimsPerCommit   = structs.MaxTransactionEntries / 2 // each claim has a condition and a write
 )
 
 // submitClaim queues a claim's write for the next transaction. The queue is
@@ -64,18 +63,22 @@
 	s.commit(conditions, writes, cs.inFlight)
 }
 
-// takeBatch removes the claims of the next transaction from the queue. It skips
-// claims whose call was refused before they were sent.
+// takeBatch removes the claims of the next transaction from the queue: as many as
+// the store's limits allow. It skips claims whose call was refused before they were
+// sent.
 func (cs *claimState) takeBatch() []*claim {
 	var batch []*claim
 	n, size := 0, 0
-	for ; n < len(cs.queue) && len(batch) < maxClaimsPerCommit && size < maxClaimBytesPerCommit; n++ {
+	for ; n < len(cs.queue) && len(batch) < maxClaimsPerCommit; n++ {
 		cl := cs.queue[n]
 		if cl.op == claimOpNone {
 			continue
 		}
+		size += entryBytes(structs.Write{Key: cl.key, Row: cl.row})
+		if size > structs.MaxTransactionBytes {
+			break
+		}
 		batch = append(batch, cl)
-		size += len(cl.row.Body)
 	}
 	cs.queue = append(cs.queue[:0:0], cs.queue[n:]...)
 	return batch
--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -125,6 +125,15 @@
 	s.sendTransaction(t)
 }
 
+// entryFrameBytes bounds the encoded size of a write and its condition besides the
+// key and the row.
+const entryFrameBytes = 128
+
+// entryBytes returns an upper bound of the encoded size of a write and its condition.
+func entryBytes(w structs.Write) int {
+	return 2*structs.TextBytes(string(w.Key)) + structs.RowBytes(w.Row) + entryFrameBytes
+}
+
 // findConflict returns the conflicting row with the key.
 func findConflict(conflicts []Conflict, key structs.RowKey) (Conflict, bool) {
 	for _, c := range conflicts {
--- /dev/null
+++ b/core/structs/limits.go
@@ -0,0 +1,76 @@
+package structs
+
+// Limits of the table service. It refuses a call that is over one of them, for good
+// and as a whole.
+const (
+	MaxKeyBytes           = 200       // key of a row
+	MaxRowBytes           = 64 << 10  // value of a row
+	MaxTransactionEntries = 100       // conditions and writes of one transaction
+	MaxTransactionBytes   = 1_000_000 // one transaction
+	MaxPageRows           = 500       // rows in one answer
+	MaxPageBytes          = 1_000_000 // one answer
+)
+
+// Upper bounds of the encoded sizes of parts of rows, in bytes. A row type whose size
+// depends only on short names is counted as smallRowBytes.
+const (
+	smallRowBytes   = 2048
+	taskFrame       = 640 // field names and numbers of a TaskRow
+	commitmentFrame = 224 // field names and numbers of a Commitment
+	claimFrame      = 384 // field names and numbers of a ClaimRow
+	textFrame       = 3   // quotes and separator of a list's entry
+	escapedByte     = 6   // a byte that is encoded as an escape sequence
+	base64Group     = 4   // encoded bytes of each bytesPerGroup bytes of binary data
+	bytesPerGroup   = 3
+)
+
+// RowBytes returns an upper bound of the encoded size of a row, so that rows are kept
+// within MaxRowBytes without being encoded.
+func RowBytes(row Row) int {
+	switch r := row.(type) {
+	case nil:
+		return 0
+	case TaskRow:
+		return r.bytes()
+	case WorkerRow:
+		n := smallRowBytes + TextBytes(string(r.Worker))
+		for i := range r.Commitments {
+			n += r.Commitments[i].Bytes()
+		}
+		return n
+	case ClaimRow:
+		return claimFrame + TextBytes(r.Service) + TextBytes(r.Key) + TextBytes(string(r.Host)) +
+			TextBytes(string(r.Instance)) + TextBytes(r.ContentType) + (len(r.Body)/bytesPerGroup+1)*base64Group
+	case ConfigHead:
+		return smallRowBytes + TextBytes(r.Object) + TextBytes(r.Author)
+	}
+	return smallRowBytes
+}
+
+func (r *TaskRow) bytes() int {
+	n := taskFrame + TextBytes(string(r.Task)) + TextBytes(r.Row) + TextBytes(string(r.Worker)) +
+		TextBytes(r.Checkpoint) + TextBytes(r.Reason)
+	for _, w := range r.FailedOn {
+		n += textFrame + TextBytes(string(w))
+	}
+	return n
+}
+
+// Bytes returns an upper bound of the encoded size of a commitment in its worker's row.
+func (c *Commitment) Bytes() int { return commitmentFrame + TextBytes(string(c.Task)) }
+
+// TextBytes returns an upper bound of the encoded size of a text without its quotes.
+func TextBytes(s string) int {
+	n := 0
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '"' || c == '\\':
+			n += 2
+		case c < ' ' || c >= 0x7f || c == '<' || c == '>' || c == '&':
+			n += escapedByte
+		default:
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/structs/limits_test.go
@@ -0,0 +1,35 @@
+package structs
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+)
+
+// Guards against a row that is encoded larger than RowBytes says, and so is refused by
+// the store together with everything else in its transaction.
+func TestRowBytesIsUpperBound(t *testing.T) {
+	text := strings.Repeat("\x01<\"é", 40)
+	id, most := TaskID(text), Resources{math.MinInt64, math.MinInt64, math.MinInt64}
+	for _, row := range []Row{
+		PartitionRow{Owner: HostID(text), Epoch: math.MaxUint64, Sequence: math.MaxUint64},
+		TaskRow{
+			Task: id, Row: text, Index: math.MinInt, Kind: KindService, Request: most, Generation: math.MaxUint64, SpecHash: math.MaxUint64,
+			Phase: TaskEvicting, Worker: WorkerID(text), Run: math.MaxUint64, Checkpoint: text, Evictions: math.MinInt,
+			FailedOn: []WorkerID{WorkerID(text), WorkerID(text)}, Reason: text, Transfers: math.MinInt, MovedTo: math.MinInt,
+		},
+		WorkerRow{Worker: WorkerID(text), Commitments: []Commitment{{id, math.MaxUint64, most}, {id, math.MaxUint64, most}}},
+		ClaimRow{
+			Service: text, Key: text, Host: HostID(text), Instance: InstanceID(text), Attempt: math.MaxUint64, State: ClaimReleased,
+			Status: math.MinInt, ContentType: text, Body: []byte(text), BodyOmitted: true,
+		},
+		ConfigHead{Generation: math.MaxUint64, Object: text, Author: text, Attempt: math.MaxUint64},
+		EntryHostRow{Host: "h", Instance: "i", Address: "a", Zone: "z"},
+	} {
+		encoded, err := json.Marshal(row)
+		if bound := RowBytes(row); err != nil || len(encoded) > bound || bound > len(encoded)+2*smallRowBytes {
+			t.Errorf("%T: %d bytes encoded, bound %d, %v", row, len(encoded), bound, err)
+		}
+	}
+}
