control: a transaction of a partition holds 100 entries and 1 MB, and the fake store enforces it

A transaction held up to 256 rows, each with a condition, where the store takes 100 entries: a sheet of more than 49 new tasks was refused as a whole and repeated for ever, without any renewal of the ownership. Changes now fill a transaction by the rows they touch and by an upper bound of the encoded size. The store of the tests refuses and reports a transaction, row or key over a limit, and shortens pages, so that every test and the fuzzing meet the limits.

--- a/core/control/fakes_test.go
+++ b/core/control/fakes_test.go
@@ -42,6 +42,11 @@
 		return
 	}
 	d := st.latency(w)
+	if reason := overLimit(f); reason != "" {
+		w.recordViolation("the store refuses %s", reason)
+		n.post(d, control.Committed{Effect: f.ID, Outcome: control.OutcomeNotDone})
+		return
+	}
 	lost := w.rng.IntN(1000) < st.lose || d > f.Timeout
 	w.after(d, func() {
 		answer := st.apply(f)
@@ -113,13 +118,18 @@
 	})
 }
 
+// list returns a page of rows, which is shorter than the limit where the rows are large.
 func (st *fakeStore) list(prefix string, after structs.RowKey, limit int) (rows []structs.KeyedRow, more bool) {
+	limit = min(limit, structs.MaxPageRows)
+	size := 0
 	i := sort.Search(len(st.keys), func(i int) bool { return string(st.keys[i]) >= prefix && st.keys[i] > after })
 	for ; i < len(st.keys) && strings.HasPrefix(string(st.keys[i]), prefix); i++ {
-		if len(rows) == limit {
+		row := st.rows[st.keys[i]]
+		size += len(row.Key) + encodedBytes(row.Row) + entryFrameBytes
+		if len(rows) == limit || len(rows) > 0 && size > structs.MaxPageBytes {
 			return rows, true
 		}
-		rows = append(rows, st.rows[st.keys[i]])
+		rows = append(rows, row)
 	}
 	return rows, false
 }
--- a/core/control/partition_commit.go
+++ b/core/control/partition_commit.go
@@ -12,8 +12,10 @@
 	// taskWritesPerSecond bounds the transactions of all partitions together. The
 	// store accepts several hundred writes a second, including those for claims.
 	taskWritesPerSecond = 200
-	maxRowsPerCommit    = 256  // rows in one transaction
-	outboxLimit         = 4096 // queued changes from which periodic work waits
+	// Each row of a transaction has a condition and a write; one row is that of the
+	// partition.
+	maxRowsPerCommit = structs.MaxTransactionEntries / 2
+	outboxLimit      = 4096 // queued changes from which periodic work waits
 )
 
 // change is a group of rows to write in one transaction, with the handler that
@@ -58,17 +60,32 @@
 	if o.inFlight != nil || len(o.outbox) == 0 {
 		return
 	}
-	n, rows := 0, 0
-	for n < len(o.outbox) && (n == 0 || rows+len(o.outbox[n].writes) <= maxRowsPerCommit) {
-		rows += len(o.outbox[n].writes)
-		n++
-	}
+	n := o.nextBatch()
 	s.commitPartition(o, o.outbox[:n:n], structs.PartitionRow{
 		Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1,
 	})
 	o.outbox = append([]change(nil), o.outbox[n:]...)
 }
 
+// nextBatch returns how many of the queued changes the next transaction holds beside
+// the partition's row: as many as the store's limits allow, and at least one.
+func (o *ownedPartition) nextBatch() int {
+	ownerKey := structs.PartitionKey(o.partition.id)
+	sizes := map[structs.RowKey]int{ownerKey: entryBytes(structs.Write{Key: ownerKey, Row: structs.PartitionRow{}})}
+	total := sizes[ownerKey]
+	for n, c := range o.outbox {
+		for _, w := range c.writes {
+			size := entryBytes(w)
+			total += size - sizes[w.Key]
+			sizes[w.Key] = size
+		}
+		if n > 0 && (len(sizes) > maxRowsPerCommit || total > structs.MaxTransactionBytes) {
+			return n
+		}
+	}
+	return len(o.outbox)
+}
+
 // flushSpacing returns the least time between two transactions of one
 // partition.
 func (s *State) flushSpacing() time.Duration {
