control: a worker's row takes no more commitments than fit into a row of the store

A worker with room for many small tasks was given commitments beyond the 65,536 bytes of a row, and the store refused every transaction of its partition from then on. Placement now counts an upper bound of the row's size; a worker whose row is full takes no further task, and the waiting tasks say so. TestWorkerRowHoldsNoMoreThanTheStoreTakes: a row of 68,718 bytes refused again and again before; rows within the limit and the tasks move off the worker after.

--- a/core/control/tasks_place.go
+++ b/core/control/tasks_place.go
@@ -131,7 +131,7 @@
 	var bestScore float64
 	refusal := policy.NotAccepting
 	for _, w := range o.tasks.workerList {
-		c := s.candidate(o, r, t, w)
+		c := s.candidate(o, r, t, w, request)
 		c.OthersUntried = elsewhere
 		if why := policy.Filter(demand, c); why != policy.Fits {
 			if why != policy.NotAccepting && refusal != policy.FailedBefore {
@@ -148,11 +148,12 @@
 }
 
 // candidate describes a worker as a possible place for the task.
-func (s *State) candidate(o *ownedPartition, r *rowState, t *task, w *workerState) policy.Candidate {
+func (s *State) candidate(o *ownedPartition, r *rowState, t *task, w *workerState, request structs.Resources) policy.Candidate {
 	return policy.Candidate{
 		Capacity: w.spec.Capacity, Committed: w.committed, Accepting: w.accepting(), OnTrial: w.health.OnTrial,
 		Tasks: len(w.row.Commitments), BatchThrottled: w.throttle.Pressure > policy.PressureNone,
 		Reserved:   w.pendingEvictions > 0 && r.sheet.Importance < w.evictingFor,
+		RowFull:    !w.rowHolds(structs.Commitment{Task: t.row.Task, Run: t.row.Run + 1, Request: request}),
 		SameWorker: r.workers[w.id], SameRack: r.racks[w.spec.Rack], SameZone: r.zones[w.spec.Zone],
 		FailedHere: failedOn(t, w.id),
 	}
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -105,6 +105,9 @@
 		w := o.tasks.addWorker(r.Worker)
 		w.row = r
 		w.committed = r.Committed()
+		for i := range r.Commitments {
+			w.rowBytes += r.Commitments[i].Bytes()
+		}
 	}
 }
 
--- a/core/control/tasks_worker.go
+++ b/core/control/tasks_worker.go
@@ -30,6 +30,7 @@
 	movedAway bool           // listed in a rack of another partition; treated like a leaving worker
 	row       structs.WorkerRow
 	committed structs.Resources
+	rowBytes  int      // upper bound of the encoded size of row's commitments
 	rowNames  []string // sheet row of each commitment, in the same order; empty until adopted
 
 	boot           string        // empty until the first answer to this owner
@@ -88,6 +89,13 @@
 	w.row.Commitments = append(old[:len(old):len(old)], c)
 	w.rowNames = append(w.rowNames, name)
 	w.committed = w.committed.Add(c.Request)
+	w.rowBytes += c.Bytes()
+}
+
+// rowHolds reports whether the worker's row stays within the store's limit with one
+// more commitment: a worker may have room for thousands of small tasks.
+func (w *workerState) rowHolds(c structs.Commitment) bool {
+	return structs.WorkerRowFrame+w.rowBytes+c.Bytes() <= structs.MaxRowBytes
 }
 
 // release removes the commitment of a run and returns its resources.
@@ -100,6 +108,7 @@
 		w.row.Commitments = append(append(rest, w.row.Commitments[:i]...), w.row.Commitments[i+1:]...)
 		w.rowNames = append(w.rowNames[:i], w.rowNames[i+1:]...)
 		w.committed = w.committed.Sub(c.Request)
+		w.rowBytes -= c.Bytes()
 		return c.Request, true
 	}
 	return structs.Resources{}, false
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -11,6 +11,7 @@
 	Tasks          int  // tasks committed on the worker
 	BatchThrottled bool // batch is throttled there for a service
 	Reserved       bool // tasks are being evicted there for more important work
+	RowFull        bool // its row holds no further commitment
 
 	SameWorker    int     // tasks of the same row on this worker
 	SameRack      int     // tasks of the same row in this rack
@@ -45,6 +46,7 @@
 	ReservedForOthers   Refusal = "held for more important work"
 	ThrottledForService Refusal = "held back for a service"
 	NoCapacity          Refusal = "no worker has room"
+	RowFull             Refusal = "as many tasks as its row holds"
 	NoProcessors        Refusal = "no processors left"
 	NoMemory            Refusal = "no memory left"
 	NoAccelerators      Refusal = "no accelerators left"
@@ -75,6 +77,8 @@
 		return ReservedForOthers
 	case c.BatchThrottled && d.Kind == structs.KindBatch && !d.Urgent:
 		return ThrottledForService
+	case c.RowFull:
+		return RowFull
 	case d.Request.MilliCores > free.MilliCores:
 		return NoProcessors
 	case d.Request.MemoryMB > free.MemoryMB:
--- a/core/structs/limits.go
+++ b/core/structs/limits.go
@@ -11,12 +11,15 @@
 	MaxPageBytes          = 1_000_000 // one answer
 )
 
+// MaxWorkerIDBytes bounds the ID of a worker, which is part of keys and rows.
+const MaxWorkerIDBytes = 128
+
 // Upper bounds of the encoded sizes of parts of rows, in bytes. A row type whose size
 // depends only on short names is counted as smallRowBytes.
 const (
 	smallRowBytes   = 2048
 	taskFrame       = 640 // field names and numbers of a TaskRow
-	commitmentFrame = 224 // field names and numbers of a Commitment
+	commitmentFrame = len(`{"task":"","run":,"request":{"milli_cores":,"memory_mb":,"accelerators":}},`)
 	claimFrame      = 384 // field names and numbers of a ClaimRow
 	textFrame       = 3   // quotes and separator of a list's entry
 	escapedByte     = 6   // a byte that is encoded as an escape sequence
@@ -33,7 +36,7 @@
 	case TaskRow:
 		return r.bytes()
 	case WorkerRow:
-		n := smallRowBytes + TextBytes(string(r.Worker))
+		n := WorkerRowFrame
 		for i := range r.Commitments {
 			n += r.Commitments[i].Bytes()
 		}
@@ -56,8 +59,30 @@
 	return n
 }
 
+// WorkerRowFrame bounds the encoded size of a WorkerRow without its commitments, for a
+// worker whose ID has at most MaxWorkerIDBytes.
+const WorkerRowFrame = 64 + MaxWorkerIDBytes*escapedByte
+
 // Bytes returns an upper bound of the encoded size of a commitment in its worker's row.
-func (c *Commitment) Bytes() int { return commitmentFrame + TextBytes(string(c.Task)) }
+func (c *Commitment) Bytes() int {
+	return commitmentFrame + TextBytes(string(c.Task)) + decimalBytes(uint64(c.Run)) + intBytes(c.Request.MilliCores) +
+		intBytes(c.Request.MemoryMB) + intBytes(c.Request.Accelerators)
+}
+
+func intBytes(n int64) int {
+	if n < 0 {
+		return decimalBytes(-uint64(n)) + 1
+	}
+	return decimalBytes(uint64(n))
+}
+
+func decimalBytes(n uint64) int {
+	digits := 1
+	for ; n >= 10; n /= 10 {
+		digits++
+	}
+	return digits
+}
 
 // TextBytes returns an upper bound of the encoded size of a text without its quotes.
 func TextBytes(s string) int {
