control: a task's row and decision records hold bounded texts and workers

A worker gives the reason of a failed run in any length, and it went into the task's row: with 180 KB the store refused the row with its whole transaction, and the partition stood still. A task that can't be tried in each partition listed every worker on which it had failed. Reasons are cut to 1,024 bytes, subjects to 512, and the row names the newest 32 workers. TestLongReasonOfAFailure: job not given up, no other work started, reasons of 180,013 bytes before. TestTaskFailsOnManyWorkers: 41 workers in the row before, 32 after.

--- a/core/control/explain.go
+++ b/core/control/explain.go
@@ -22,6 +22,23 @@
 	return explanations{subjects: newSubjectLog(maxSubjects), calls: newSubjectLog(maxCallSubjects)}
 }
 
+// Bounds of the texts of a decision record, in bytes. Workers, targets and the store give
+// reasons of any length, and the records are kept in memory and logged.
+const (
+	maxReasonBytes  = 1024
+	maxSubjectBytes = 512
+)
+
+// shortened returns the text cut to a number of bytes, without a part of a character at
+// its end.
+func shortened(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	const mark = "..."
+	return strings.ToValidUTF8(text[:limit-len(mark)], "") + mark
+}
+
 func (e *explanations) add(d DecisionRecord) {
 	if d.Part == "routing" {
 		e.calls.add(d)
--- a/core/control/fakes_test.go
+++ b/core/control/fakes_test.go
@@ -162,6 +162,7 @@
 	frozen        bool
 	unlisted      bool
 	failsAll      bool
+	failDetail    string                               // why runs fail
 	extraStatuses []structs.RunStatus                  // added to each answer, as from a faulty worker
 	omitsStops    bool                                 // reports stopped runs as gone
 	noCheckpoints bool                                 // checkpoints never finish
@@ -345,7 +346,7 @@
 	x.lease(r, f.LeaseUntil)
 	x.w.checkStartedRun(x, r)
 	if x.failsAll || x.w.failingRows[f.Spec.Row] {
-		x.end(r, structs.RunFailed, "exit status 1")
+		x.end(r, structs.RunFailed, "exit status 1"+x.failDetail)
 	} else if x.model != nil {
 		x.model.begin(r.ref.Task, f.Spec.Row)
 	} else if f.Spec.Kind == structs.KindBatch && f.Spec.RunTimeMS > 0 {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -80,6 +80,8 @@
 
 // recordDecision emits a decision record and stores it for ExplainRequested.
 func (s *State) recordDecision(d DecisionRecord) {
+	d.Reason = shortened(d.Reason, maxReasonBytes)
+	d.Subject, d.Where = shortened(d.Subject, maxSubjectBytes), shortened(d.Where, maxSubjectBytes)
 	s.explanations.add(d)
 	s.emit(d)
 }
--- a/core/control/store_limits_test.go
+++ b/core/control/store_limits_test.go
@@ -1,9 +1,11 @@
 package control_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/tamarackstep/tamarackstep/core/sheet"
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -43,3 +45,50 @@
 	w.expect(t, 30*time.Second, "the tasks leave the worker", func() bool { return len(w.runs(tiny.Name)) == 0 })
 	w.checkViolations(t)
 }
+
+// Guards against a worker's long reason for a failed run that makes the task's row larger
+// than the store takes and so stops its whole partition, or that fills log and memory.
+func TestLongReasonOfAFailure(t *testing.T) {
+	w := taskWorld(4, 1, 4)
+	good := batchRow("good", 8, 1000, 2*time.Second)
+	w.apply(t, good)
+	w.expect(t, 30*time.Second, "the workers run others well", func() bool { return w.inPhase("good", structs.TaskFinished) == 8 })
+	for _, x := range w.workers {
+		x.failDetail = strings.Repeat("é<", 60_000)
+	}
+	w.failingRows["bad"] = true
+	w.apply(t, good, batchRow("bad", 1, 1000, time.Hour))
+	w.expect(t, 120*time.Second, "the job is given up", func() bool { return w.inPhase("bad", structs.TaskFailed) == 1 })
+	w.apply(t, good, batchRow("later", 1, 1000, time.Hour))
+	w.expect(t, 10*time.Second, "other work starts", func() bool { return len(w.runs("later")) == 1 })
+	for _, n := range w.nodes {
+		for _, d := range n.records {
+			if len(d.Reason) > 1024 || !utf8.ValidString(d.Reason) {
+				t.Fatalf("%s %s: a reason of %d bytes", d.Part, d.Action, len(d.Reason))
+			}
+		}
+	}
+	w.checkViolations(t)
+}
+
+// Guards against a task's row that grows with every worker on which the task failed.
+func TestTaskFailsOnManyWorkers(t *testing.T) {
+	w := newWorld(5, 3)
+	for i := range 48 {
+		w.addWorker(fmt.Sprintf("w%02d", i), "rack", structs.Resources{MilliCores: 8000, MemoryMB: 8000})
+	}
+	w.addHosts(0) // all workers are in one partition, so that the task can't be tried in each
+	w.failingRows["bad"] = true
+	w.apply(t, batchRow("bad", 1, 1000, time.Hour))
+	longest := 0
+	w.store.onCommit = func([]structs.Write) {
+		for _, row := range w.tasks("bad") {
+			longest = max(longest, len(row.FailedOn))
+		}
+	}
+	w.expect(t, 3*time.Hour, "the task has failed on 32 workers", func() bool { return longest >= 32 })
+	w.run(10 * time.Minute)
+	if longest > 32 {
+		t.Errorf("%d workers in the task's row, want at most 32", longest)
+	}
+}
--- a/core/control/tasks_settle.go
+++ b/core/control/tasks_settle.go
@@ -7,6 +7,10 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
+// maxFailedOn bounds the workers in a task's row on which it failed. The newest count:
+// a task fails for good after three workers that run others well.
+const maxFailedOn = 32
+
 // runEnded handles a run that has certainly ended. The proof is a status that
 // says how it ended, a confirmed stop, a restart of its worker, or an expired
 // lease. The commitment is removed in the same transaction as the change of the
@@ -124,11 +128,12 @@
 func (s *State) handleFailedRun(o *ownedPartition, t *task, w *workerState, st structs.RunStatus) {
 	t.failures++
 	if !failedOn(t, w.id) {
-		t.row.FailedOn = append(t.row.FailedOn[:len(t.row.FailedOn):len(t.row.FailedOn)], w.id)
+		kept := t.row.FailedOn[max(0, len(t.row.FailedOn)+1-maxFailedOn):]
+		t.row.FailedOn = append(kept[:len(kept):len(kept)], w.id)
 	}
 	s.recordWorkerFailure(o, w, t.row.Row)
 	if n := s.failuresOnGoodWorkers(o, t); n >= policy.JobFailureLimit {
-		t.row.Reason = fmt.Sprintf("failed on %d workers that run others well: %s", n, st.Detail)
+		t.row.Reason = shortened(fmt.Sprintf("failed on %d workers that run others well: %s", n, st.Detail), maxReasonBytes)
 		s.recordDecision(DecisionRecord{
 			Part: "placement", Action: "given up", Subject: string(t.row.Task), Where: string(w.id),
 			Reason: t.row.Reason, Request: string(t.row.Task),
