structs: the claim of an order with a long key has a key that the store takes

An idempotency key may have 255 bytes and the name of a service 100, but the key of a row 200: the store refused the claim together with up to 49 other orders, for ever. TestClaimKeysFitAndDiffer: keys of 363 bytes before, at most 200 and different after.

--- a/core/structs/limits_test.go
+++ b/core/structs/limits_test.go
@@ -33,3 +33,21 @@
 		}
 	}
 }
+
+// Guards against a key that the store refuses, and against two orders that share a claim.
+func TestClaimKeysFitAndDiffer(t *testing.T) {
+	service, long := strings.Repeat("s", 100), strings.Repeat("k", 255)
+	hashed := string(ClaimKey(service, long))
+	imitation := strings.TrimPrefix(hashed, ClaimPrefix+service+"/")
+	seen := map[RowKey]string{}
+	for _, key := range []string{"k", "~", long, long[1:] + "x", imitation, strings.Repeat("k", 92), strings.Repeat("k", 93)} {
+		k := ClaimKey(service, key)
+		if other, ok := seen[k]; ok || len(k) > MaxKeyBytes {
+			t.Errorf("%q has the key %q of %d bytes, also that of %q", key, k, len(k), other)
+		}
+		seen[k] = key
+	}
+	if ClaimKey("portal", "order-1") != "claims/portal/order-1" {
+		t.Error("the key of a short claim has changed")
+	}
+}
--- a/core/structs/rows.go
+++ b/core/structs/rows.go
@@ -1,6 +1,8 @@
 package structs
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strings"
 )
@@ -42,8 +44,20 @@
 func WorkerKey(p PartitionID, w WorkerID) RowKey { return RowKey(WorkerKeyPrefix(p) + string(w)) }
 
 // ClaimKey returns the key of the claim on a call. The service must not contain a
-// slash, so that keys are unambiguous.
-func ClaimKey(service, key string) RowKey { return RowKey(ClaimPrefix + service + "/" + key) }
+// slash, so that keys are unambiguous. An idempotency key that is too long for the key of
+// a row is replaced by its hash, and so is one that looks like a hash.
+func ClaimKey(service, key string) RowKey {
+	plain := ClaimPrefix + service + "/" + key
+	isHash := len(key) == len(hashMark)+hex.EncodedLen(sha256.Size) && strings.HasPrefix(key, hashMark)
+	if len(plain) <= MaxKeyBytes && !isHash {
+		return RowKey(plain)
+	}
+	sum := sha256.Sum256([]byte(key))
+	return RowKey(ClaimPrefix + service + "/" + hashMark + hex.EncodeToString(sum[:]))
+}
+
+// hashMark begins a hashed idempotency key.
+const hashMark = "~"
 
 // EntryHostKey returns the key of an entry host's row.
 func EntryHostKey(h HostID) RowKey { return RowKey(EntryHostPrefix + string(h)) }
