control: entries of the host list with a long id or place are not used

The id of a worker is part of a key, which the store takes up to 200 bytes. One entry with an id of 200 bytes among the others made the store refuse every transaction of its partition that placed a task there. Such entries, and those without an id, are left out with a decision line.

--- a/core/control/hostlist.go
+++ b/core/control/hostlist.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -34,16 +35,44 @@
 		return
 	}
 	if !r.Unchanged {
-		s.hosts.replace(r.Workers)
+		s.replaceHostList(r.Workers)
 		s.hosts.version = r.Version
 	}
 	s.hosts.readAt = s.now
 	s.hostListChanged()
 }
 
-// replace stores a newly read list.
+// replaceHostList stores a newly read list without the entries that can't be used.
+func (s *State) replaceHostList(workers []structs.Worker) {
+	usable := make([]structs.Worker, 0, len(workers))
+	for _, w := range workers {
+		if usableEntry(w) {
+			usable = append(usable, w)
+		}
+	}
+	s.hosts.replace(usable)
+	if unusable := len(workers) - len(usable); unusable > 0 {
+		s.recordDecision(DecisionRecord{
+			Part: "worker", Action: "entries not used", Subject: "host list",
+			Reason: fmt.Sprintf("%d entries have no id, or an id or place of more than %d bytes", unusable, structs.MaxWorkerIDBytes),
+		})
+	}
+}
+
+// usableEntry reports whether a listed worker's id and place fit into keys, rows and
+// messages. One long entry must not make the store refuse those of others.
+func usableEntry(w structs.Worker) bool {
+	for _, text := range [...]string{string(w.ID), w.Region, w.Zone, w.Rack, w.Address} {
+		if len(text) > structs.MaxWorkerIDBytes {
+			return false
+		}
+	}
+	return w.ID != ""
+}
+
+// replace stores the usable entries of a list.
 func (h *hostList) replace(workers []structs.Worker) {
-	h.workers = append(h.workers[:0:0], workers...)
+	h.workers = workers
 	sort.Slice(h.workers, func(i, j int) bool { return h.workers[i].ID < h.workers[j].ID })
 	h.byID = make(map[structs.WorkerID]int, len(h.workers))
 	for i, w := range h.workers {
--- a/core/control/store_limits_test.go
+++ b/core/control/store_limits_test.go
@@ -92,3 +92,18 @@
 		t.Errorf("%d workers in the task's row, want at most 32", longest)
 	}
 }
+
+// Guards against one long entry of the host list that makes the store refuse the row of
+// its worker and everything else of the partition.
+func TestLongEntryOfTheHostList(t *testing.T) {
+	w := newWorld(6, 1)
+	w.addWorker(strings.Repeat("x", 200), "rack0", structs.Resources{MilliCores: 64_000, MemoryMB: 64_000})
+	w.addWorker("", "rack0", structs.Resources{MilliCores: 64_000, MemoryMB: 64_000})
+	w.addHosts(4)
+	w.apply(t, batchRow("study", 8, 1000, time.Hour))
+	w.expect(t, 10*time.Second, "all run on the other workers", func() bool { return len(w.runs("study")) == 8 })
+	if w.countDecisions("entries not used", "host list") == 0 {
+		t.Error("no decision says that entries are not used")
+	}
+	w.checkViolations(t)
+}
