control: a transaction that the store refuses for good is not repeated; the row at fault costs itself only

An answer 400 counted as "not done" and the same transaction was sent again for ever, with the renewal of the ownership in it, so that one refused row stopped a partition, or all orders of a host. Committed now says whether the content was refused for good (400, 413, 422; any other refusal is one for now). The reducer finds the change at fault by halves, renews the ownership alone meanwhile, and sets the change aside, with a decision line, once the store accepts a transaction without it; an assignment that is not stored leaves no commitment. An order whose claim is refused is answered as not run, a result that is refused is recorded without its body, a configuration is refused to its operator.

--- a/core/control/claim_limits_test.go
+++ b/core/control/claim_limits_test.go
@@ -40,3 +40,45 @@
 		t.Errorf("%d results were recorded, want 120", recorded)
 	}
 }
+
+// Guards against an order that the store refuses for good and that holds up the others,
+// and against its result that does.
+func TestRefusedClaimCostsItsOrderOnly(t *testing.T) {
+	h := newHarness(t, 40, 8)
+	const orders = 20
+	refused := map[control.CallID]bool{h.keyedCall("odd"): true}
+	for i := range orders - 1 {
+		h.keyedCall(fmt.Sprint("order-", i))
+	}
+	answers, dispatched, omitted := 0, 0, 0
+	for round := range 100 {
+		h.advance(100 * time.Millisecond)
+		for _, c := range takeAll[control.Commit](h) {
+			reject := false
+			for _, x := range c.Writes {
+				row, _ := x.Row.(structs.ClaimRow)
+				reject = reject || row.Key == "odd" || row.Key == "order-3" && row.State == structs.ClaimFinished && !row.BodyOmitted
+			}
+			if reject {
+				h.apply(control.Committed{Effect: c.ID, Outcome: control.OutcomeNotDone, Rejected: true})
+				continue
+			}
+			if writtenClaimState(c, "order-3") == structs.ClaimFinished {
+				omitted++
+			}
+			h.committed(c, structs.Version(round+1))
+		}
+		for _, a := range takeAll[control.AnswerCall](h) {
+			if answers++; !refused[a.Call] || a.Kind != control.AnswerNotRun {
+				t.Errorf("answer %+v", a)
+			}
+		}
+		for _, d := range takeAll[control.DispatchCall](h) {
+			dispatched++
+			h.finish(d, control.OutcomeDone, 200)
+		}
+	}
+	if answers != 1 || dispatched != orders-1 || omitted != 1 {
+		t.Errorf("%d orders refused, %d ran, %d results without body; want 1, %d and 1", answers, dispatched, omitted, orders-1)
+	}
+}
--- a/core/control/claims.go
+++ b/core/control/claims.go
@@ -51,6 +51,7 @@
 	flushScheduled bool
 	nextFlush      Instant // earliest time of the next transaction
 	failures       int     // consecutive transactions that did not take effect
+	batchLimit     int     // claims in one transaction while a rejected one is isolated; 0: no limit
 }
 
 func newClaimState() claimState { return claimState{byKey: make(map[structs.RowKey]*claim)} }
@@ -175,6 +176,23 @@
 	s.route(cl.call)
 }
 
+// claimRejected handles a write that the store refuses for good: a new claim's call
+// is answered as not run, a result is recorded without its body.
+func (s *State) claimRejected(cl *claim) {
+	cl.sent = false
+	switch {
+	case cl.op == claimOpAcquire && cl.call != nil:
+		s.answerNotRun(cl.call, "the store refuses the order's claim", 0)
+	case cl.op == claimOpRecord && !cl.row.BodyOmitted:
+		cl.row.Body, cl.row.ContentType, cl.row.BodyOmitted = nil, "", true
+		s.submitClaim(cl)
+	default:
+		// The row stays held under this claim's token, so that a repeat is answered as unknown.
+		s.recordDecision(DecisionRecord{Part: "routing", Action: "result not recorded", Subject: string(cl.key), Reason: "the store refuses it"})
+		s.forgetClaim(cl)
+	}
+}
+
 // claimConflicted handles a write that did not take effect because the row has
 // another version than expected.
 func (s *State) claimConflicted(cl *claim, found Conflict) {
--- a/core/control/claims_batch.go
+++ b/core/control/claims_batch.go
@@ -68,8 +68,11 @@
 // sent.
 func (cs *claimState) takeBatch() []*claim {
 	var batch []*claim
-	n, size := 0, 0
-	for ; n < len(cs.queue) && len(batch) < maxClaimsPerCommit; n++ {
+	n, size, limit := 0, 0, maxClaimsPerCommit
+	if cs.batchLimit > 0 {
+		limit = min(limit, cs.batchLimit)
+	}
+	for ; n < len(cs.queue) && len(batch) < limit; n++ {
 		cl := cs.queue[n]
 		if cl.op == claimOpNone {
 			continue
@@ -90,12 +93,43 @@
 
 func (t *claimCommit) committed(s *State, revision structs.Version) {
 	s.claimCommitEnded()
+	if s.claims.batchLimit *= 2; s.claims.batchLimit >= maxClaimsPerCommit {
+		s.claims.batchLimit = 0
+	}
 	for _, cl := range t.claims {
 		s.claimCommitted(cl, revision)
 	}
 	s.scheduleClaimFlush()
 }
 
+// rejected isolates the claim that the store refuses, by halves, so that the others
+// are stored.
+func (t *claimCommit) rejected(s *State) {
+	s.claimCommitEnded()
+	if len(t.claims) == 1 {
+		s.claimRejected(t.claims[0])
+	} else {
+		s.claims.batchLimit = len(t.claims) / 2
+		s.requeueClaims(t.claims)
+	}
+	s.scheduleClaimFlush()
+}
+
+// requeueClaims returns the writes of a transaction that did not take effect to the
+// queue, except new claims whose call has ended.
+func (s *State) requeueClaims(claims []*claim) {
+	var again []*claim
+	for _, cl := range claims {
+		cl.sent = false
+		if cl.op == claimOpAcquire && cl.call == nil {
+			s.forgetClaim(cl)
+			continue
+		}
+		again = append(again, cl)
+	}
+	s.claims.queue = append(again, s.claims.queue...)
+}
+
 // conflicted resolves the rows in conflict and submits the others again. No
 // attempt of the transaction can take effect after this answer: a row that is
 // not in conflict was not written, and a row in conflict has a newer version.
@@ -135,16 +169,7 @@
 	cs := &s.claims
 	cs.inFlight = nil
 	cs.failures++
-	var again []*claim
-	for _, cl := range t.claims {
-		cl.sent = false
-		if cl.op == claimOpAcquire && cl.call == nil {
-			s.forgetClaim(cl)
-			continue
-		}
-		again = append(again, cl)
-	}
-	cs.queue = append(again, cs.queue...)
+	s.requeueClaims(t.claims)
 	cs.nextFlush = s.now + s.retryDelay(cs.failures)
 	s.scheduleClaimFlush()
 	return false
--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -66,6 +67,9 @@
 	// earlier attempt may be the cause: the owner looks for its own write in the
 	// conflicting rows.
 	conflicted(s *State, conflicts []Conflict, unknown bool)
+	// rejected reports that the store refuses the content of the transaction for
+	// good. An earlier attempt with an unknown outcome had the same content.
+	rejected(s *State)
 	// shouldRetry reports whether to retry after an attempt that failed or got no
 	// answer. An owner that returns false is not told the outcome.
 	shouldRetry(s *State, unknown bool) bool
@@ -91,6 +95,15 @@
 		t.owner.conflicted(s, r.Conflicts, t.unknown)
 		return
 	}
+	if r.Rejected {
+		s.observeStore(OutcomeDone)
+		s.recordDecision(DecisionRecord{
+			Part: "store", Action: "transaction rejected", Subject: string(t.writes[0].Key),
+			Reason: fmt.Sprintf("%d rows, refused for good", len(t.writes)),
+		})
+		t.owner.rejected(s)
+		return
+	}
 	s.observeStore(r.Outcome)
 	if r.Outcome == OutcomeDone {
 		t.owner.committed(s, r.Revision)
--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -247,6 +247,15 @@
 	s.beginApply(g.apply)
 }
 
+func (g *generationCommit) rejected(s *State) {
+	if g.reported {
+		return
+	}
+	g.apply.reply.Outcome = OutcomeNotDone
+	g.apply.reply.Reason = "the table service refuses the change for good; nothing was changed"
+	s.endApply(g.apply, g.apply.reply)
+}
+
 func (g *generationCommit) shouldRetry(s *State, unknown bool) bool {
 	if s.now-g.apply.began <= applyTimeout || g.reported {
 		return true
--- a/core/control/event.go
+++ b/core/control/event.go
@@ -53,10 +53,13 @@
 
 // Committed is the outcome of a Commit. Conflicts is set when the table
 // service refused the transaction because of its conditions; Outcome is then
-// OutcomeNotDone for this attempt.
+// OutcomeNotDone for this attempt. Rejected is set when the table service refuses the
+// content of the transaction for good, for example because a row is too large; the same
+// transaction must not be repeated. Outcome is then OutcomeNotDone too.
 type Committed struct {
 	Effect    EffectID
 	Outcome   Outcome
+	Rejected  bool
 	Revision  structs.Version // version of all written rows, when done
 	Conflicts []Conflict
 }
--- a/core/control/fakes_test.go
+++ b/core/control/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 	lose     int // answers lost per 1000 transactions
 	commits  int
 	onCommit func(writes []structs.Write)
+	rejects  func(structs.Write) bool // rows that the store refuses for good; nil: none
 }
 
 func newFakeStore() *fakeStore {
@@ -44,7 +46,11 @@
 	d := st.latency(w)
 	if reason := overLimit(f); reason != "" {
 		w.recordViolation("the store refuses %s", reason)
-		n.post(d, control.Committed{Effect: f.ID, Outcome: control.OutcomeNotDone})
+		n.post(d, control.Committed{Effect: f.ID, Outcome: control.OutcomeNotDone, Rejected: true})
+		return
+	}
+	if st.rejects != nil && slices.ContainsFunc(f.Writes, st.rejects) {
+		n.post(d, control.Committed{Effect: f.ID, Outcome: control.OutcomeNotDone, Rejected: true})
 		return
 	}
 	lost := w.rng.IntN(1000) < st.lose || d > f.Timeout
--- a/core/control/membership_rows.go
+++ b/core/control/membership_rows.go
@@ -69,6 +69,7 @@
 
 func (entryHostRemoval) committed(*State, structs.Version)   {}
 func (entryHostRemoval) conflicted(*State, []Conflict, bool) {}
+func (entryHostRemoval) rejected(*State)                     {}
 func (entryHostRemoval) shouldRetry(*State, bool) bool       { return false }
 
 func (s *State) ownEntryHostRow() structs.EntryHostRow {
@@ -93,4 +94,5 @@
 		s.writeOwnEntryHostRow(c.Version)
 	}
 }
+func (ownRowCommit) rejected(*State)               {} // the next read of the rows tries again
 func (ownRowCommit) shouldRetry(*State, bool) bool { return true }
--- a/core/control/partition.go
+++ b/core/control/partition.go
@@ -46,7 +46,9 @@
 	loaded         bool
 	releasing      bool
 	outbox         []change
+	changeLimit    int // changes in one transaction while a rejected one is isolated; 0: no limit
 	inFlight       *partitionCommit
+	suspect        *change // was rejected in a transaction of its own
 	flushScheduled bool
 	nextFlush      Instant
 	lastRenewed    Instant // when the last confirmed commit was sent
@@ -202,6 +204,9 @@
 	s.handlePartitionRow(a.p, c)
 }
 
+// rejected leaves the partition to the next check of its ownership.
+func (a *acquisition) rejected(*State) { a.p.acquiring = false }
+
 func (a *acquisition) shouldRetry(*State, bool) bool { return true }
 
 func (p *partition) name() string { return fmt.Sprintf("partition %d", p.id) }
--- a/core/control/partition_commit.go
+++ b/core/control/partition_commit.go
@@ -60,13 +60,21 @@
 	if o.inFlight != nil || len(o.outbox) == 0 {
 		return
 	}
+	if o.changeLimit > 0 && s.now-o.lastRenewed >= partitionRenewInterval {
+		// The ownership does not depend on changes that may be rejected.
+		s.commitPartition(o, nil, s.nextOwnerRow(o))
+		return
+	}
 	n := o.nextBatch()
-	s.commitPartition(o, o.outbox[:n:n], structs.PartitionRow{
-		Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1,
-	})
+	s.commitPartition(o, o.outbox[:n:n], s.nextOwnerRow(o))
 	o.outbox = append([]change(nil), o.outbox[n:]...)
 }
 
+// nextOwnerRow returns the ownership row that the next transaction writes.
+func (s *State) nextOwnerRow(o *ownedPartition) structs.PartitionRow {
+	return structs.PartitionRow{Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1}
+}
+
 // nextBatch returns how many of the queued changes the next transaction holds beside
 // the partition's row: as many as the store's limits allow, and at least one.
 func (o *ownedPartition) nextBatch() int {
@@ -79,7 +87,7 @@
 			total += size - sizes[w.Key]
 			sizes[w.Key] = size
 		}
-		if n > 0 && (len(sizes) > maxRowsPerCommit || total > structs.MaxTransactionBytes) {
+		if n > 0 && (n == o.changeLimit || len(sizes) > maxRowsPerCommit || total > structs.MaxTransactionBytes) {
 			return n
 		}
 	}
@@ -103,9 +111,7 @@
 		s.flushPartition(p)
 		return
 	}
-	s.commitPartition(o, nil, structs.PartitionRow{
-		Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1,
-	})
+	s.commitPartition(o, nil, s.nextOwnerRow(o))
 }
 
 // partitionCommit is the transaction in flight for an owned partition.
@@ -167,6 +173,11 @@
 		s.partitionReleased(o)
 		return
 	}
+	o.widenBatches(len(c.changes))
+	if o.suspect != nil {
+		s.setAside(o, *o.suspect)
+		o.suspect = nil
+	}
 	for _, ch := range c.changes {
 		if ch.onCommit != nil {
 			ch.onCommit.changeCommitted(s, o)
@@ -199,4 +210,59 @@
 	}
 }
 
+// rejected isolates the change that the store refuses, by halves, so that the
+// others are stored. A change that is refused alone is set aside. If an earlier attempt
+// took effect all the same, the next transaction finds that in a conflict.
+func (c *partitionCommit) rejected(s *State) {
+	o := c.o
+	if o.partition.owned != o {
+		return
+	}
+	o.inFlight = nil
+	o.nextFlush = s.now + s.flushSpacing()
+	switch len(c.changes) {
+	case 0:
+		s.dropPartition(o, "the store refuses its row")
+	case 1:
+		// It is set aside once the store accepts a transaction without it.
+		o.suspect = &c.changes[0]
+		s.commitPartition(o, nil, s.nextOwnerRow(o))
+	default:
+		o.outbox = append(c.changes, o.outbox...)
+		o.changeLimit = len(c.changes) / 2
+		s.scheduleFlush(o)
+	}
+}
+
+// setAside gives up a change that the store refuses. Its task stays marked as being
+// written, so that this owner changes nothing of it any more; the next owner reads its
+// rows anew. An assignment that is not stored leaves no commitment.
+func (s *State) setAside(o *ownedPartition, c change) {
+	key := c.writes[0].Key
+	d := DecisionRecord{Part: "store", Action: "row set aside", Subject: string(key), Reason: "the store refuses it; its task stays as it is"}
+	if row, ok := c.writes[0].Row.(structs.TaskRow); ok {
+		d.Subject, d.Request = string(row.Task), string(row.Task)
+	}
+	s.recordDecision(d)
+	saved, ok := c.onCommit.(taskSaved)
+	if !ok || saved.t.row.Phase != structs.TaskAssigned || saved.t.run.startSent {
+		return
+	}
+	if w := o.tasks.workers[saved.t.row.Worker]; w != nil {
+		s.releaseRun(o, saved.t, w)
+		s.submit(o, change{writes: []structs.Write{{Key: structs.WorkerKey(o.partition.id, w.id), Row: w.row}}})
+		s.capacityChanged(o)
+	}
+}
+
+// widenBatches doubles the limit of a transaction's changes after one that took effect.
+func (o *ownedPartition) widenBatches(changes int) {
+	if changes == 0 || o.changeLimit == 0 {
+		return
+	}
+	if o.changeLimit *= 2; o.changeLimit >= maxRowsPerCommit {
+		o.changeLimit = 0
+	}
+}
+
 func (c *partitionCommit) shouldRetry(s *State, _ bool) bool { return c.o.partition.owned == c.o }
--- a/core/control/store_limits_test.go
+++ b/core/control/store_limits_test.go
@@ -107,3 +107,47 @@
 	}
 	w.checkViolations(t)
 }
+
+// Guards against a row that the store refuses for good and that holds up the ownership
+// of its partition and the tasks of all others.
+func TestRefusedRowCostsItsTaskOnly(t *testing.T) {
+	for name, refused := range map[string]func(structs.TaskRow) bool{
+		"every row":       func(structs.TaskRow) bool { return true },
+		"each assignment": func(row structs.TaskRow) bool { return row.Phase == structs.TaskAssigned },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := taskWorld(7, 1, 8)
+			w.store.rejects = func(x structs.Write) bool {
+				row, ok := x.Row.(structs.TaskRow)
+				return ok && row.Row == "odd" && refused(row)
+			}
+			w.apply(t, batchRow("odd", 3, 1000, time.Hour), batchRow("study", 40, 1000, time.Hour))
+			w.expect(t, 15*time.Second, "the others run", func() bool { return len(w.runs("study")) == 40 })
+			w.run(20 * time.Second)
+			if took := w.countDecisions("took over", ""); took != 1 {
+				t.Errorf("the partition had %d owners, want 1", took)
+			}
+			if n := w.countDecisions("row set aside", "odd."); n != 3 {
+				t.Errorf("%d tasks were set aside, want the 3 refused ones", n)
+			}
+			w.apply(t, batchRow("odd", 3, 1000, time.Hour), batchRow("study", 64, 1000, time.Hour))
+			w.expect(t, 15*time.Second, "later work has all of the workers", func() bool { return len(w.runs("study")) == 64 })
+			w.check(t)
+		})
+	}
+}
+
+// Guards against accepted changes that are given up because the store refuses everything
+// for a while.
+func TestStoreRefusesEverything(t *testing.T) {
+	w := taskWorld(8, 1, 8)
+	w.apply(t, batchRow("study", 8, 1000, time.Hour))
+	w.store.rejects = func(structs.Write) bool { return true }
+	w.run(20 * time.Second)
+	w.store.rejects = nil
+	w.expect(t, 20*time.Second, "all run", func() bool { return len(w.runs("study")) == 8 })
+	if n := w.countDecisions("row set aside", ""); n != 0 {
+		t.Errorf("%d changes were given up", n)
+	}
+	w.check(t)
+}
--- a/entry/internal/platform/client.go
+++ b/entry/internal/platform/client.go
@@ -80,6 +80,7 @@
 	case http.StatusConflict:
 		return c.decodeConflict(response, result)
 	}
+	result.Rejected = transport.RejectsContent(response.Status)
 	return c.endpoint.RefusalOutcome(step, c.address, response)
 }
 
--- a/entry/internal/platform/client_test.go
+++ b/entry/internal/platform/client_test.go
@@ -40,7 +40,8 @@
 }
 
 // Guards against a timeout that is reported as a refusal, a refusal that is
-// reported as unknown, and a conflict whose rows are lost.
+// reported as unknown, a conflict whose rows are lost, and a refusal for good that is
+// repeated or one for now that is not.
 func TestCommitOutcomes(t *testing.T) {
 	const conflict = `{"conflicts":[{"key":"hosts/a","version":4,"value":{"host":"z"}},{"key":"hosts/c","version":0,"value":null}]}`
 	rows := []control.Conflict{{Key: "hosts/a", Version: 4, Row: structs.EntryHostRow{Host: "z"}}, {Key: "hosts/c"}}
@@ -54,7 +55,10 @@
 		"conflict":           {409, conflict, control.Committed{Effect: 7, Outcome: not, Conflicts: rows}},
 		"undecoded conflict": {409, `{"conflicts":[{"key":"new/a","version":1,"value":{}}]}`, control.Committed{Effect: 7, Outcome: unknown}},
 		"invalid JSON":       {200, `{"revi`, control.Committed{Effect: 7, Outcome: unknown}},
-		"bad request":        {400, ``, control.Committed{Effect: 7, Outcome: not}},
+		"bad request":        {400, ``, control.Committed{Effect: 7, Outcome: not, Rejected: true}},
+		"too large":          {413, ``, control.Committed{Effect: 7, Outcome: not, Rejected: true}},
+		"forbidden":          {403, ``, control.Committed{Effect: 7, Outcome: not}},
+		"too many requests":  {429, ``, control.Committed{Effect: 7, Outcome: not}},
 		"timeout upstream":   {408, ``, control.Committed{Effect: 7, Outcome: unknown}},
 		"unavailable":        {503, ``, control.Committed{Effect: 7, Outcome: unknown}},
 		"closed connection":  {0, ``, control.Committed{Effect: 7, Outcome: unknown}},
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -96,3 +96,14 @@
 	}
 	return structs.OutcomeUnknown, err
 }
+
+// RejectsContent reports whether a status refuses the content of a request, so that the
+// same request is refused whenever it is sent. Others, such as 403, 404 or 429, may come
+// from the state of the peer or from something in between.
+func RejectsContent(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
