control: the lists of partitions and entry hosts are read to their end, page by page

They were read with one call, which answers 500 rows or 1 MB at most, where the settings allow 4,096 partitions. Rows behind the page seemed not to change: while heartbeats were lost, each host tried to take those partitions from their owners again and again.

--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -11,7 +11,7 @@
 	heartbeatInterval = 500 * time.Millisecond
 	peerSuspectAfter  = 1500 * time.Millisecond
 	peerTimeout       = 1 * time.Second
-	entryHostLimit    = 512 // entry host rows read at once, and peers kept in memory
+	entryHostLimit    = 512 // peers kept in memory
 )
 
 // peer is the state of another entry host, from its heartbeats and its row.
--- a/core/control/membership_rows.go
+++ b/core/control/membership_rows.go
@@ -13,26 +13,19 @@
 )
 
 // readEntryHosts reads the rows of all entry hosts.
-func (s *State) readEntryHosts() {
-	s.emit(ReadRows{
-		ID: s.effectID(entryHostsRead{}), Prefix: structs.EntryHostPrefix,
-		Limit: entryHostLimit, Timeout: storeTimeout,
-	})
-}
+func (s *State) readEntryHosts() { s.readList(structs.EntryHostPrefix, entryHostsRead{}) }
 
 // entryHostsRead handles the rows of all entry hosts.
 type entryHostsRead struct{}
 
-func (entryHostsRead) complete(s *State, result EventBody) {
-	r := result.(RowsRead)
-	s.observeStore(r.Outcome)
-	if r.Outcome != OutcomeDone {
+func (entryHostsRead) listed(s *State, rows []structs.KeyedRow, outcome Outcome) {
+	if outcome != OutcomeDone {
 		s.setTimer(s.now+entryHostRetry, timerEntryHosts, 0)
 		return
 	}
 	s.setTimer(s.now+entryHostsInterval, timerEntryHosts, 0)
 	own := structs.KeyedRow{Key: structs.EntryHostKey(s.self.Host)}
-	for _, kr := range r.Rows {
+	for _, kr := range rows {
 		row, ok := kr.Row.(structs.EntryHostRow)
 		if !ok {
 			continue
--- a/core/control/ownership_test.go
+++ b/core/control/ownership_test.go
@@ -208,3 +208,31 @@
 	}
 	w.check(t)
 }
+
+// Guards against a read of the partitions' rows that ends with a page of the store: the
+// rows behind it seemed not to change, and while heartbeats were lost each host tried to
+// take those partitions from their owners again and again.
+func TestPartitionsBeyondOnePage(t *testing.T) {
+	w := newWorld(9, 520)
+	a, b := w.addNode("a", 1), w.addNode("b", 1)
+	w.run(140 * time.Second) // until both have their share
+	w.cut(a.address, b.address, true)
+	w.run(2 * time.Second)
+	attempts := 0
+	for _, n := range w.nodes {
+		n.observe = func(_ control.Event, effects []control.Effect) {
+			for _, e := range effects {
+				if c, ok := e.(control.Commit); ok {
+					if row, ok := c.Writes[0].Row.(structs.PartitionRow); ok && row.Sequence == 1 {
+						attempts++
+					}
+				}
+			}
+		}
+	}
+	w.run(10 * time.Second)
+	if attempts > 0 {
+		t.Errorf("%d attempts to take a partition from an owner that renews", attempts)
+	}
+	w.checkViolations(t)
+}
--- a/core/control/partition.go
+++ b/core/control/partition.go
@@ -89,24 +89,17 @@
 	s.balance()
 }
 
-func (s *State) readOwnership() {
-	s.emit(ReadRows{
-		ID: s.effectID(ownershipRead{}), Prefix: structs.PartitionPrefix,
-		Limit: len(s.partitions), Timeout: storeTimeout,
-	})
-}
+func (s *State) readOwnership() { s.readList(structs.PartitionPrefix, ownershipRead{}) }
 
 // ownershipRead handles the rows of all partitions.
 type ownershipRead struct{}
 
-func (ownershipRead) complete(s *State, result EventBody) {
-	r := result.(RowsRead)
-	s.observeStore(r.Outcome)
-	if r.Outcome != OutcomeDone {
+func (ownershipRead) listed(s *State, read []structs.KeyedRow, outcome Outcome) {
+	if outcome != OutcomeDone {
 		return
 	}
-	rows := make(map[structs.RowKey]structs.KeyedRow, len(r.Rows))
-	for _, row := range r.Rows {
+	rows := make(map[structs.RowKey]structs.KeyedRow, len(read))
+	for _, row := range read {
 		rows[row.Key] = row
 	}
 	for _, p := range s.partitions {
