standin: the platform enforces the limits of keys, rows, transactions and pages

The stand-in took transactions and rows of any size and answered 1,000 rows a page, so that no test of built programs met a limit of the platform. It answers 400 to what is over one, counts it, and shortens pages; the failure tests fail when a transaction was rejected. TestLimitsOfTheStore guards each limit at its value and one above.

--- a/api/wire/standin.go
+++ b/api/wire/standin.go
@@ -31,8 +31,13 @@
 	Reads     int    `json:"reads"`
 	Lost      int    `json:"lost"` // responses withheld after the effect
 	Refused   int    `json:"refused"`
+
+	Rejected []string `json:"rejected,omitempty"` // why transactions were over a limit, up to MaxListedRejections
 }
 
+// MaxListedRejections bounds the list of rejected transactions in StoreStats.
+const MaxListedRejections = 100
+
 // LeaveRequest marks a worker as leaving, or as live again.
 type LeaveRequest struct {
 	Leaving bool `json:"leaving"`
--- a/standin/failtest/cluster_test.go
+++ b/standin/failtest/cluster_test.go
@@ -179,6 +179,11 @@
 	found := audit.CheckOrders(journal, []caller.Report{report})
 	found = append(found, audit.CheckRuns(journal, c.ProcessFaults(), time.Now())...)
 	found = append(found, c.monitor.violations()...)
+	rejected, err := c.RejectedTransactions()
+	c.must(err)
+	for _, reason := range rejected {
+		found = append(found, "the store rejected a transaction: "+reason)
+	}
 	for _, line := range found {
 		c.t.Error(line)
 	}
--- a/standin/internal/deployment/clients.go
+++ b/standin/internal/deployment/clients.go
@@ -163,6 +163,13 @@
 	return rows, err
 }
 
+// RejectedTransactions returns why the platform rejected transactions as over a limit.
+func (d *Deployment) RejectedTransactions() ([]string, error) {
+	var stats wire.StoreStats
+	err := sendJSON(http.MethodGet, "http://"+d.PlatformAddress+wire.PathStats, requestTimeout, nil, &stats)
+	return stats.Rejected, err
+}
+
 // forEachRow visits the values of all rows with the prefix, page by page.
 func (d *Deployment) forEachRow(prefix string, visit func(json.RawMessage) error) error {
 	for after, more := "", true; more; {
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -94,6 +94,12 @@
 }
 
 func (s *State) commit(r wire.CommitRequest) (int, any) {
+	if reason := overLimit(r); reason != "" {
+		if len(s.stats.Rejected) < wire.MaxListedRejections {
+			s.stats.Rejected = append(s.stats.Rejected, reason)
+		}
+		return http.StatusBadRequest, wire.Refusal{Reason: reason}
+	}
 	conflicts := s.table.commit(r)
 	if len(conflicts) > 0 {
 		s.stats.Conflicts++
--- a/standin/platform/state_test.go
+++ b/standin/platform/state_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,6 +66,58 @@
 	}
 }
 
+// Guards against a stand-in that takes more than the platform does, so that no test meets
+// a limit, and against one that refuses what the platform takes.
+func TestLimitsOfTheStore(t *testing.T) {
+	value := func(n int) json.RawMessage { return json.RawMessage(`"` + strings.Repeat("v", n-2) + `"`) }
+	rows := func(n, size int) wire.CommitRequest {
+		var r wire.CommitRequest
+		for i := range n {
+			key := fmt.Sprintf("k%03d", i)
+			r.Conditions = append(r.Conditions, wire.Condition{Key: key})
+			r.Writes = append(r.Writes, wire.Write{Key: key, Value: value(size)})
+		}
+		return r
+	}
+	key := func(n int) wire.CommitRequest {
+		return wire.CommitRequest{Writes: []wire.Write{{Key: strings.Repeat("k", n), Value: value(2)}}}
+	}
+	for name, c := range map[string]struct {
+		request wire.CommitRequest
+		status  int
+	}{
+		"100 entries":         {rows(50, 10), http.StatusOK},
+		"102 entries":         {rows(51, 10), http.StatusBadRequest},
+		"row of 65536 bytes":  {rows(1, 65536), http.StatusOK},
+		"row of 65537 bytes":  {rows(1, 65537), http.StatusBadRequest},
+		"key of 200 bytes":    {key(200), http.StatusOK},
+		"key of 201 bytes":    {key(201), http.StatusBadRequest},
+		"less than a million": {rows(15, 65536), http.StatusOK},
+		"more than a million": {rows(16, 65536), http.StatusBadRequest},
+	} {
+		s := New(1)
+		if a := send(t, s, 0, CommitRequested{Request: c.request}); a.Status != c.status {
+			t.Errorf("%s: status %d, want %d", name, a.Status, c.status)
+		}
+		stats := send(t, s, 0, StatsRequested{}).Body.(wire.StoreStats)
+		if rejected := c.status != http.StatusOK; rejected != (len(stats.Rejected) == 1) || rejected != (s.table.revision == 0) {
+			t.Errorf("%s: rejected %v, revision %d", name, stats.Rejected, s.table.revision)
+		}
+	}
+	s := New(1)
+	for i := range 30 {
+		send(t, s, 0, CommitRequested{Request: wire.CommitRequest{Writes: []wire.Write{{Key: fmt.Sprintf("large/%02d", i), Value: value(60_000)}}}})
+	}
+	for i := range 600 {
+		send(t, s, 0, CommitRequested{Request: wire.CommitRequest{Writes: []wire.Write{{Key: fmt.Sprintf("small/%03d", i), Value: value(2)}}}})
+	}
+	for prefix, want := range map[string]int{"large/": 16, "small/": 500} {
+		if page := send(t, s, 0, RowsRequested{Prefix: prefix}).Body.(wire.RowsResponse); len(page.Rows) != want || !page.More {
+			t.Errorf("a page of %s has %d rows, more: %v, want %d and more", prefix, len(page.Rows), page.More, want)
+		}
+	}
+}
+
 // Guards against a fault that changes whether a request takes effect: requests
 // that are refused or hang must not, requests whose answer is lost must.
 func TestFaults(t *testing.T) {
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -1,14 +1,44 @@
 package platform
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"strings"
 
 	"github.com/tamarackstep/tamarackstep/api/wire"
+	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-const maxPageRows = 1000 // in one answer
+// Sizes of parts of calls besides keys and values, in bytes.
+const entryFrameBytes = 64
+
+// overLimit returns which limit a transaction is over, or an empty string.
+func overLimit(r wire.CommitRequest) string {
+	if n := len(r.Conditions) + len(r.Writes); n > structs.MaxTransactionEntries {
+		return fmt.Sprintf("a transaction has %d entries", n)
+	}
+	size := 0
+	for _, c := range r.Conditions {
+		if len(c.Key) > structs.MaxKeyBytes {
+			return fmt.Sprintf("a key has %d bytes", len(c.Key))
+		}
+		size += len(c.Key) + entryFrameBytes
+	}
+	for _, w := range r.Writes {
+		switch {
+		case len(w.Key) > structs.MaxKeyBytes:
+			return fmt.Sprintf("a key has %d bytes", len(w.Key))
+		case len(w.Value) > structs.MaxRowBytes:
+			return fmt.Sprintf("row %s has %d bytes", w.Key, len(w.Value))
+		}
+		size += len(w.Key) + len(w.Value) + entryFrameBytes
+	}
+	if size > structs.MaxTransactionBytes {
+		return fmt.Sprintf("a transaction has %d bytes", size)
+	}
+	return ""
+}
 
 // table is the table service. One global revision counts transactions; a row's
 // version is the revision of its last write, and 0 means absent. A row that is
@@ -64,20 +94,23 @@
 }
 
 // list returns up to limit rows that have the prefix and sort after the key, in
-// key order, and whether there are more.
+// key order, and whether there are more. A page is shorter where the rows are large.
 func (t *table) list(prefix, after string, limit int) (rows []wire.Row, more bool) {
-	if limit <= 0 || limit > maxPageRows {
-		limit = maxPageRows
+	if limit <= 0 || limit > structs.MaxPageRows {
+		limit = structs.MaxPageRows
 	}
+	size := 0
 	first := sort.Search(len(t.keys), func(i int) bool { return t.keys[i] >= prefix && t.keys[i] > after })
 	for _, key := range t.keys[first:] {
 		if !strings.HasPrefix(key, prefix) {
 			break
 		}
-		if len(rows) == limit {
+		row := t.rows[key]
+		size += len(key) + len(row.Value) + entryFrameBytes
+		if len(rows) == limit || len(rows) > 0 && size > structs.MaxPageBytes {
 			return rows, true
 		}
-		rows = append(rows, t.rows[key])
+		rows = append(rows, row)
 	}
 	return rows, false
 }
