control: a configuration that can't be stored or sent is refused at once, with its reason

An author of 70 KB made the head row too large; the store refused it for ten seconds, in which no other change went on, and the operator read that the store did not answer. Merged changes could have more rows than a sheet, and a sheet of long texts more bytes than a host reads of one object or message: it was accepted and then in force nowhere else. Author, rows and an upper bound of the encoded size are checked before anything is written, and a refusal by the object store for good ends the request.

--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -13,6 +14,10 @@
 const (
 	applyTimeout      = 10 * time.Second // after this an apply without an answer is reported as unknown
 	removalShareLimit = 0.20             // share of the running rows; larger removals need a confirmation
+	maxAuthorBytes    = 200              // the author is part of rows and messages
+	// maxConfigurationBytes keeps a configuration within one object and one message
+	// between hosts, of which 16 MB are read.
+	maxConfigurationBytes = 15_000_000
 )
 
 // pendingApply is an operator's request to change the configuration, in
@@ -51,6 +56,10 @@
 // on the head row decides between concurrent changes of several hosts.
 func (s *State) enqueueApply(a *pendingApply) {
 	a.began = s.now
+	if reason := s.applyRefusal(a); reason != "" {
+		s.refuseApply(a, reason)
+		return
+	}
 	if a.base == 0 {
 		a.base = s.config.current.Generation
 	}
@@ -60,6 +69,23 @@
 	}
 }
 
+// applyRefusal returns why a request is refused at once, or an empty string.
+func (s *State) applyRefusal(a *pendingApply) string {
+	switch {
+	case len(a.author) > maxAuthorBytes:
+		return fmt.Sprintf("the author is longer than %d bytes", maxAuthorBytes)
+	}
+	return ""
+}
+
+// refuseApply answers a request that is not queued.
+func (s *State) refuseApply(a *pendingApply, reason string) {
+	s.emit(OperatorReply{Request: a.request, Reply: ApplyReply{Generation: s.config.current.Generation, Outcome: OutcomeNotDone, Reason: reason}})
+	s.recordDecision(DecisionRecord{
+		Part: "config", Action: "refused", Subject: fmt.Sprintf("generation %d", s.config.current.Generation), Where: a.author, Reason: reason,
+	})
+}
+
 // beginApply computes the next generation from the configuration in force and
 // starts to store it.
 func (s *State) beginApply(a *pendingApply) {
@@ -117,6 +143,7 @@
 			reply.Reason = fmt.Sprintf("no service or batch row named %q is in force", unknown)
 		}
 		next.Stopped = stopped
+		reply.Reason = cmp.Or(reply.Reason, sizeRefusal(&next))
 		return next, reply
 	}
 	base, ok := s.config.generation(a.base)
@@ -147,9 +174,22 @@
 	}
 	next.Rows = merge.Rows
 	next.Stopped = sheet.KeepStopped(current, merge.Rows)
+	reply.Reason = sizeRefusal(&next)
 	return next, reply
 }
 
+// sizeRefusal returns why a configuration is too large to be stored and sent, or an
+// empty string. Merged changes may be too large although each of them is not.
+func sizeRefusal(c *structs.Configuration) string {
+	switch n := c.Bytes(); {
+	case len(c.Rows) > sheet.MaxRows:
+		return fmt.Sprintf("the sheet has %d rows with the changes of others; at most %d are accepted", len(c.Rows), sheet.MaxRows)
+	case n > maxConfigurationBytes:
+		return fmt.Sprintf("the sheet takes %d bytes with the changes of others; at most %d are accepted", n, maxConfigurationBytes)
+	}
+	return ""
+}
+
 // authorsOf returns the authors of the generations after base that changed the
 // conflicting rows, in the order of their changes. If this host skipped
 // generations, their changes are attributed to the author of the next
@@ -185,6 +225,11 @@
 
 func (w sheetWrite) complete(s *State, result EventBody) {
 	r := result.(ObjectWritten)
+	if r.Rejected {
+		w.apply.reply.Outcome, w.apply.reply.Reason = OutcomeNotDone, "the object store refuses the sheet for good; nothing was changed"
+		s.endApply(w.apply, w.apply.reply)
+		return
+	}
 	if r.Outcome != OutcomeDone {
 		if s.now-w.apply.began > applyTimeout {
 			w.apply.reply.Reason = "the object store does not answer; nothing was changed"
--- a/core/control/event.go
+++ b/core/control/event.go
@@ -72,10 +72,12 @@
 	More    bool               // further rows follow the last one
 }
 
-// ObjectWritten is the outcome of a WriteObject.
+// ObjectWritten is the outcome of a WriteObject. Rejected is set when the object store
+// refuses the object for good, for example because it is too large.
 type ObjectWritten struct {
-	Effect  EffectID
-	Outcome Outcome
+	Effect   EffectID
+	Outcome  Outcome
+	Rejected bool
 }
 
 // ObjectRead is the outcome of a ReadObject.
--- a/core/structs/limits.go
+++ b/core/structs/limits.go
@@ -1,5 +1,7 @@
 package structs
 
+import "unicode/utf8"
+
 // Limits of the table service. It refuses a call that is over one of them, for good
 // and as a whole.
 const (
@@ -21,8 +23,9 @@
 	taskFrame       = 640 // field names and numbers of a TaskRow
 	commitmentFrame = len(`{"task":"","run":,"request":{"milli_cores":,"memory_mb":,"accelerators":}},`)
 	claimFrame      = 384 // field names and numbers of a ClaimRow
+	sheetRowFrame   = 352 // field names and numbers of a SheetRow
 	textFrame       = 3   // quotes and separator of a list's entry
-	escapedByte     = 6   // a byte that is encoded as an escape sequence
+	escapedByte     = 6   // a character that is encoded as an escape sequence
 	base64Group     = 4   // encoded bytes of each bytesPerGroup bytes of binary data
 	bytesPerGroup   = 3
 )
@@ -87,15 +90,31 @@
 // TextBytes returns an upper bound of the encoded size of a text without its quotes.
 func TextBytes(s string) int {
 	n := 0
-	for i := 0; i < len(s); i++ {
-		switch c := s[i]; {
-		case c == '"' || c == '\\':
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
 			n += 2
-		case c < ' ' || c >= 0x7f || c == '<' || c == '>' || c == '&':
+		case r < ' ' || r == 0x7f || r == '<' || r == '>' || r == '&' || r == utf8.RuneError || r == '\u2028' || r == '\u2029':
 			n += escapedByte
 		default:
-			n++
+			n += utf8.RuneLen(r)
 		}
 	}
 	return n
 }
+
+// Bytes returns an upper bound of the encoded size of a configuration.
+func (c *Configuration) Bytes() int {
+	n := smallRowBytes + TextBytes(c.Author)
+	for i := range c.Rows {
+		n += c.Rows[i].bytes()
+	}
+	for _, name := range c.Stopped {
+		n += textFrame + TextBytes(name)
+	}
+	return n
+}
+
+func (r *SheetRow) bytes() int {
+	return sheetRowFrame + TextBytes(r.Name) + TextBytes(r.Team) + TextBytes(r.Command)
+}
--- a/entry/internal/platform/objects.go
+++ b/entry/internal/platform/objects.go
@@ -8,10 +8,12 @@
 
 	"github.com/tamarackstep/tamarackstep/api/wire"
 	"github.com/tamarackstep/tamarackstep/core/control"
+	"github.com/tamarackstep/tamarackstep/internal/transport"
 )
 
 // WriteObject writes a configuration to the object store as JSON.
 func (c *Client) WriteObject(e control.WriteObject) {
+	result := control.ObjectWritten{Effect: e.ID}
 	c.submit("write-object", e.Timeout, func(ctx context.Context) (control.Outcome, error) {
 		body, err := json.Marshal(e.Configuration)
 		if err != nil {
@@ -22,11 +24,13 @@
 			return outcome, err
 		}
 		if response.Status/100 != 2 {
+			result.Rejected = transport.RejectsContent(response.Status)
 			return c.endpoint.RefusalOutcome("write-object", c.address, response)
 		}
 		return control.OutcomeDone, nil
 	}, func(o control.Outcome) control.EventBody {
-		return control.ObjectWritten{Effect: e.ID, Outcome: o}
+		result.Outcome = o
+		return result
 	})
 }
 
