control: at most 16 changes of the configuration wait on a host

Requests of operators waited without a bound, each with up to a whole sheet in memory. A further one is refused at once, with its reason. TestWaitingChangesAreBounded: 40 of 40 requests queued before; 16 queued and 24 refused after.

--- a/core/control/config_limits_test.go
+++ b/core/control/config_limits_test.go
@@ -71,3 +71,21 @@
 	}
 }
 
+// Guards against requests that wait in memory without a bound, each with a whole sheet.
+func TestWaitingChangesAreBounded(t *testing.T) {
+	w := smallWorld(15)
+	w.run(3 * time.Second)
+	n := w.nodes[0]
+	for id := range control.OperatorRequestID(40) {
+		n.applySheet(id+1, portalRow(int(id%3)+1))
+	}
+	refused := len(n.replies)
+	if refused != 40-16 {
+		t.Errorf("%d requests were refused at once, want 24", refused)
+	}
+	for id := range control.OperatorRequestID(16) {
+		if r := w.answered(t, n, id+1); !r.Accepted {
+			t.Errorf("request %d: %+v", id+1, r)
+		}
+	}
+}
--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -14,6 +14,7 @@
 const (
 	applyTimeout      = 10 * time.Second // after this an apply without an answer is reported as unknown
 	removalShareLimit = 0.20             // share of the running rows; larger removals need a confirmation
+	maxWaitingApplies = 16               // requests in memory, each with up to a whole sheet; further ones are refused
 	maxAuthorBytes    = 200              // the author is part of rows and messages
 	// maxConfigurationBytes keeps a configuration within one object and one message
 	// between hosts, of which 16 MB are read.
@@ -74,6 +75,8 @@
 	switch {
 	case len(a.author) > maxAuthorBytes:
 		return fmt.Sprintf("the author is longer than %d bytes", maxAuthorBytes)
+	case len(s.config.applies) >= maxWaitingApplies:
+		return fmt.Sprintf("%d changes wait on this entry host; try again later", len(s.config.applies))
 	}
 	return ""
 }
