control: the history of changes holds at most 40,000 rows

It held 256 changes of any size, each of which may be a whole sheet of 20,000 rows, on a host with 32 MB for control. The oldest changes are dropped by rows too; a plan against them is refused as too old. TestHistoryOfLargeChangesIsBounded: a plan against a generation 140,000 rows ago was merged before, and is refused after.

--- a/core/control/config_limits_test.go
+++ b/core/control/config_limits_test.go
@@ -89,3 +89,23 @@
 		}
 	}
 }
+
+// Guards against a history of whole sheets that takes hundreds of megabytes.
+func TestHistoryOfLargeChangesIsBounded(t *testing.T) {
+	w := smallWorld(16)
+	w.run(3 * time.Second)
+	n := w.nodes[0]
+	for id := range control.OperatorRequestID(8) {
+		n.applySheet(id+1, append(manyRows(fmt.Sprint("v", id), 10_000), portalRow(1))...)
+		if r := w.answered(t, n, id+1); !r.Accepted {
+			t.Fatalf("change %d was refused: %s", id+1, r.Reason)
+		}
+	}
+	for base, kept := range map[structs.Generation]bool{1: false, 7: true} {
+		id := control.OperatorRequestID(100 + base)
+		n.apply(control.ApplyRequested{Request: id, Author: "other", Base: base, PlanOnly: true, Rows: []structs.SheetRow{portalRow(1)}})
+		if r := w.answered(t, n, id); kept == strings.Contains(r.Reason, "too old") {
+			t.Errorf("plan against generation %d: %s", base, r.Reason)
+		}
+	}
+}
--- a/core/control/configuration.go
+++ b/core/control/configuration.go
@@ -11,7 +11,8 @@
 const (
 	configPollInterval    = 2 * time.Second
 	configRetryInterval   = 500 * time.Millisecond
-	maxConfigHistory      = 256 // changes kept in memory to merge with; 80 min at 4,500 changes a day
+	maxConfigHistory      = 256    // changes kept in memory to merge with; 80 min at 4,500 changes a day
+	maxHistoryRows        = 40_000 // rows in these changes; a whole sheet may change at once
 	objectTimeout         = 2 * time.Second
 	configRequestInterval = 1 * time.Second // least time between requests to peers; each answer may carry a whole sheet
 )
@@ -27,6 +28,7 @@
 	headRead        bool
 	fetching        bool
 	history         []configChange  // changes that led to current, oldest first
+	historyRows     int             // in all changes of history
 	applies         []*pendingApply // queued requests; the first is in progress
 	applyWaiting    bool            // the first apply waits for the newest configuration
 	lastAttempt     uint64          // last attempt number used by commits of this instance
@@ -128,14 +130,21 @@
 }
 
 // appendHistory stores the change from the configuration in force to the next
-// one and drops the oldest change beyond maxConfigHistory.
+// one and drops the oldest changes beyond maxConfigHistory and maxHistoryRows.
 func (c *configState) appendHistory(next structs.Configuration) {
-	if len(c.history) >= maxConfigHistory {
-		c.history = append(c.history[:0:0], c.history[1:]...)
+	change := configChange{author: next.Author, undo: deltaOf(next, c.current)}
+	c.historyRows += change.rows()
+	first := 0
+	for len(c.history)-first >= maxConfigHistory || c.historyRows > maxHistoryRows && first < len(c.history) {
+		c.historyRows -= c.history[first].rows()
+		first++
 	}
-	c.history = append(c.history, configChange{author: next.Author, undo: deltaOf(next, c.current)})
+	c.history = append(append(c.history[:0:0], c.history[first:]...), change)
 }
 
+// rows returns the number of rows that the change holds.
+func (c *configChange) rows() int { return len(c.undo.Set) + len(c.undo.Removed) + len(c.undo.Stopped) }
+
 // generation returns the configuration of a generation, reconstructed from the
 // history; 0 means the one in force. It reports false for a generation that is
 // no longer in the history.
