control: the sheets and rows of old generations are deleted

After each commit the host deletes the sheets, then the rows, of the oldest generations but the newest 16, and an attempt that certainly did not take effect deletes its own sheet. New effect DeleteObject; the platform stand-in answers DELETE, and 507 once 400 MB are stored. A host that dies between the write of a sheet and its commit still leaves one.

--- a/api/wire/platform.go
+++ b/api/wire/platform.go
@@ -8,7 +8,7 @@
 	PathCommit  = "/v1/commit"   // POST CommitRequest: 200 CommitResponse, 409 CommitConflict
 	PathRows    = "/v1/rows"     // GET: 200 RowsResponse
 	PathRow     = "/v1/row"      // GET ?key=: 200 Row
-	PathObjects = "/v1/objects/" // PUT and GET <name>: the object's bytes
+	PathObjects = "/v1/objects/" // PUT, GET and DELETE <name>: the object's bytes
 	PathHosts   = "/v1/hosts"    // GET, ?known=<version>: 200 HostsResponse
 )
 
--- a/core/control/config_limits_test.go
+++ b/core/control/config_limits_test.go
@@ -109,3 +109,41 @@
 		}
 	}
 }
+
+// Guards against an object store that fills up with the sheets of old generations and of
+// attempts that lost a race, after which no configuration can be changed any more, and
+// against a host that falls behind and never gets the newest sheet.
+func TestOldSheetsAreDeleted(t *testing.T) {
+	w := smallWorld(17)
+	w.run(3 * time.Second)
+	behind := w.nodes[2]
+	id := control.OperatorRequestID(1)
+	w.nodes[0].applySheet(id, portalRow(1), batchRow("study", 1, 1000, time.Hour))
+	w.run(2 * time.Second)
+	for round := range 40 {
+		if round == 10 {
+			behind.freeze()
+		}
+		// Both change another row of the same sheet at the same time.
+		before, after := round%2+1, (round+1)%2+1
+		w.nodes[0].applySheet(id+1, portalRow(after), batchRow("study", before, 1000, time.Hour))
+		w.nodes[1].applySheet(id+2, portalRow(before), batchRow("study", after, 1000, time.Hour))
+		id += 2
+		w.run(2 * time.Second)
+	}
+	w.run(5 * time.Second)
+	generations := 0
+	for _, k := range w.store.keys {
+		if k.HasPrefix(structs.GenerationPrefix) {
+			generations++
+		}
+	}
+	if len(w.store.objects) > 17 || generations > 17 {
+		t.Errorf("%d sheets and %d rows of generations are stored after %d changes, want 16 or 17", len(w.store.objects), generations, id)
+	}
+	behind.thaw()
+	w.expect(t, 10*time.Second, "the host that was behind has the newest sheet", func() bool {
+		return behind.status().Generation == w.nodes[0].status().Generation && behind.status().Generation > 80
+	})
+	w.checkViolations(t)
+}
--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -272,6 +272,7 @@
 	}
 	s.activateConfiguration(g.apply.result, "own commit")
 	s.broadcast(deltaOf(g.apply.before, g.apply.result))
+	s.sweepGenerations()
 	if g.reported {
 		return
 	}
@@ -285,6 +286,7 @@
 		g.committed(s, own.Version)
 		return
 	}
+	s.deleteUnusedSheet(g.head.Object)
 	if head, ok := findConflict(conflicts, structs.ConfigHeadKey); ok {
 		s.handleConfigHead(head)
 	}
@@ -296,6 +298,7 @@
 }
 
 func (g *generationCommit) rejected(s *State) {
+	s.deleteUnusedSheet(g.head.Object)
 	if g.reported {
 		return
 	}
@@ -309,6 +312,7 @@
 		return true
 	}
 	if !unknown {
+		s.deleteUnusedSheet(g.head.Object)
 		g.apply.reply.Outcome = OutcomeNotDone
 		g.apply.reply.Reason = "the table service does not answer; nothing was changed"
 		s.endApply(g.apply, g.apply.reply)
--- a/core/control/effect.go
+++ b/core/control/effect.go
@@ -45,6 +45,14 @@
 	Timeout time.Duration
 }
 
+// DeleteObject deletes an object. One that does not exist counts as deleted. Answered by
+// ObjectDeleted.
+type DeleteObject struct {
+	ID      EffectID
+	Name    string
+	Timeout time.Duration
+}
+
 // ReadHostList reads the platform's list of hosts unless it is still at the
 // known version. Answered by HostListRead.
 type ReadHostList struct {
@@ -198,6 +206,7 @@
 func (ReadRows) isEffect()       {}
 func (WriteObject) isEffect()    {}
 func (ReadObject) isEffect()     {}
+func (DeleteObject) isEffect()   {}
 func (ReadHostList) isEffect()   {}
 func (SyncWorker) isEffect()     {}
 func (StartTask) isEffect()      {}
--- a/core/control/event.go
+++ b/core/control/event.go
@@ -87,6 +87,12 @@
 	Configuration structs.Configuration
 }
 
+// ObjectDeleted is the outcome of a DeleteObject.
+type ObjectDeleted struct {
+	Effect  EffectID
+	Outcome Outcome
+}
+
 // HostListRead is the outcome of a ReadHostList.
 type HostListRead struct {
 	Effect    EffectID
@@ -213,6 +219,7 @@
 func (RowsRead) isEvent()         {}
 func (ObjectWritten) isEvent()    {}
 func (ObjectRead) isEvent()       {}
+func (ObjectDeleted) isEvent()    {}
 func (HostListRead) isEvent()     {}
 func (WorkerSynced) isEvent()     {}
 func (CommandDone) isEvent()      {}
--- a/core/control/fakes_test.go
+++ b/core/control/fakes_test.go
@@ -149,6 +149,16 @@
 	n.post(st.latency(n.w), control.ObjectWritten{Effect: f.ID, Outcome: o})
 }
 
+func (st *fakeStore) deleteObject(n *node, f control.DeleteObject) {
+	o := control.OutcomeUnknown
+	if !st.down && n.w.reaches(n.address, "store") {
+		delete(st.objects, f.Name)
+		delete(n.w.checkpoints, f.Name)
+		o = control.OutcomeDone
+	}
+	n.post(st.latency(n.w), control.ObjectDeleted{Effect: f.ID, Outcome: o})
+}
+
 func (st *fakeStore) readObject(n *node, f control.ReadObject) {
 	c, ok := st.objects[f.Name]
 	o := control.OutcomeDone
--- a/core/control/membership_rows.go
+++ b/core/control/membership_rows.go
@@ -53,17 +53,17 @@
 	if silent < entryHostExpiry || s.members.eligible(s)[0] != s.self.Host {
 		return
 	}
-	s.commit([]structs.Condition{{Key: kr.Key, Version: kr.Version}}, []structs.Write{{Key: kr.Key}}, entryHostRemoval{})
+	s.commit([]structs.Condition{{Key: kr.Key, Version: kr.Version}}, []structs.Write{{Key: kr.Key}}, rowRemoval{})
 }
 
-// entryHostRemoval is the transaction that deletes the row of a silent host. If
-// it fails, the next read of the rows tries again.
-type entryHostRemoval struct{}
+// rowRemoval is a transaction that deletes a row which a later read finds again if
+// it fails.
+type rowRemoval struct{}
 
-func (entryHostRemoval) committed(*State, structs.Version)   {}
-func (entryHostRemoval) conflicted(*State, []Conflict, bool) {}
-func (entryHostRemoval) rejected(*State)                     {}
-func (entryHostRemoval) shouldRetry(*State, bool) bool       { return false }
+func (rowRemoval) committed(*State, structs.Version)   {}
+func (rowRemoval) conflicted(*State, []Conflict, bool) {}
+func (rowRemoval) rejected(*State)                     {}
+func (rowRemoval) shouldRetry(*State, bool) bool       { return false }
 
 func (s *State) ownEntryHostRow() structs.EntryHostRow {
 	return structs.EntryHostRow{
--- a/core/control/reduce.go
+++ b/core/control/reduce.go
@@ -30,6 +30,8 @@
 		s.completeEffect(b.Effect, b)
 	case ObjectRead:
 		s.completeEffect(b.Effect, b)
+	case ObjectDeleted:
+		s.completeEffect(b.Effect, b)
 	case HostListRead:
 		s.completeEffect(b.Effect, b)
 	case WorkerSynced:
--- a/core/control/refusal_test.go
+++ b/core/control/refusal_test.go
@@ -19,6 +19,8 @@
 		return control.ObjectWritten{Effect: f.ID, Outcome: control.OutcomeNotDone}
 	case control.ReadObject:
 		return control.ObjectRead{Effect: f.ID, Outcome: control.OutcomeNotDone}
+	case control.DeleteObject:
+		return control.ObjectDeleted{Effect: f.ID, Outcome: control.OutcomeNotDone}
 	case control.ReadHostList:
 		return control.HostListRead{Effect: f.ID, Outcome: control.OutcomeNotDone}
 	}
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -242,6 +242,8 @@
 		w.store.writeObject(n, f)
 	case control.ReadObject:
 		w.store.readObject(n, f)
+	case control.DeleteObject:
+		w.store.deleteObject(n, f)
 	case control.ReadHostList:
 		n.post(w.delay(), control.HostListRead{Effect: f.ID, Outcome: control.OutcomeDone, Workers: w.listed()})
 	case control.SyncWorker:
--- a/core/record/names.go
+++ b/core/record/names.go
@@ -57,6 +57,7 @@
 	"RowsRead":         decodeRowsRead,
 	"ObjectWritten":    decodeAs[control.EventBody, control.ObjectWritten],
 	"ObjectRead":       decodeAs[control.EventBody, control.ObjectRead],
+	"ObjectDeleted":    decodeAs[control.EventBody, control.ObjectDeleted],
 	"HostListRead":     decodeAs[control.EventBody, control.HostListRead],
 	"WorkerSynced":     decodeAs[control.EventBody, control.WorkerSynced],
 	"CommandDone":      decodeAs[control.EventBody, control.CommandDone],
--- a/core/record/record_test.go
+++ b/core/record/record_test.go
@@ -151,7 +151,7 @@
 // TestEveryTypeRoundTrips guards against events, rows and messages that the
 // recording cannot encode and decode without loss.
 func TestEveryTypeRoundTrips(t *testing.T) {
-	if len(eventTypes) != 20 || len(rowTypes) != 6 || len(messageTypes) != 8 {
+	if len(eventTypes) != 21 || len(rowTypes) != 6 || len(messageTypes) != 8 {
 		t.Error("a type was added to the events, rows or messages; add a case here")
 	}
 	rows := []structs.KeyedRow{
@@ -166,7 +166,7 @@
 	bodies := []control.EventBody{
 		control.TimerFired{}, control.Committed{Effect: 1, Outcome: 2, Conflicts: rows},
 		control.RowsRead{Effect: 2, Outcome: 1, Rows: rows, More: true}, control.RowsRead{Rows: []structs.KeyedRow{}},
-		control.CommandDone{Effect: 3, Fenced: 4, Detail: "d"}, control.DrainRequested{},
+		control.CommandDone{Effect: 3, Fenced: 4, Detail: "d"}, control.DrainRequested{}, control.ObjectDeleted{Effect: 5, Outcome: 1},
 		control.PeerMessage{From: "b", Message: control.Endpoints{Targets: []structs.Target{{Service: "s"}}}},
 		control.PeerMessage{From: "b", Message: control.ConfigPush{Configuration: structs.Configuration{Generation: 1}}},
 		control.PeerMessage{From: "b", Message: control.ConfigDelta{Base: 1, Generation: 2, Removed: []string{"x"}}},
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -124,6 +124,8 @@
 		h.platform.WriteObject(e)
 	case control.ReadObject:
 		h.platform.ReadObject(e)
+	case control.DeleteObject:
+		h.platform.DeleteObject(e)
 	case control.ReadHostList:
 		h.platform.ReadHostList(e)
 	case control.SyncWorker:
--- a/entry/internal/platform/client_test.go
+++ b/entry/internal/platform/client_test.go
@@ -145,9 +145,16 @@
 func TestObjects(t *testing.T) {
 	objects := map[string][]byte{}
 	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPut {
+		switch _, there := objects[r.URL.Path]; {
+		case r.Method == http.MethodPut:
 			objects[r.URL.Path], _ = io.ReadAll(r.Body)
 			return
+		case !there:
+			w.WriteHeader(http.StatusNotFound)
+			return
+		case r.Method == http.MethodDelete:
+			delete(objects, r.URL.Path)
+			return
 		}
 		_, _ = w.Write(objects[r.URL.Path])
 	})
@@ -161,4 +168,10 @@
 	if got := (<-events).(control.ObjectRead); got.Outcome != control.OutcomeDone || !reflect.DeepEqual(got.Configuration, c) {
 		t.Errorf("got %+v", got)
 	}
+	for id := control.EffectID(3); id <= 4; id++ { // deleted, then not there any more
+		client.DeleteObject(control.DeleteObject{ID: id, Name: "sheets/3-i", Timeout: testTimeout})
+		if got := <-events; got != (control.ObjectDeleted{Effect: id, Outcome: control.OutcomeDone}) || len(objects) != 0 {
+			t.Errorf("got %+v, %d objects left", got, len(objects))
+		}
+	}
 }
--- a/entry/internal/platform/objects.go
+++ b/entry/internal/platform/objects.go
@@ -45,6 +45,22 @@
 	})
 }
 
+// DeleteObject deletes an object. One that is not there counts as deleted.
+func (c *Client) DeleteObject(e control.DeleteObject) {
+	c.submit("delete-object", e.Timeout, func(ctx context.Context) (control.Outcome, error) {
+		response, outcome, err := c.endpoint.Do(ctx, "delete-object", http.MethodDelete, c.objectURL(e.Name), nil, nil)
+		if err != nil {
+			return outcome, err
+		}
+		if response.Status/100 != 2 && response.Status != http.StatusNotFound {
+			return c.endpoint.RefusalOutcome("delete-object", c.address, response)
+		}
+		return control.OutcomeDone, nil
+	}, func(o control.Outcome) control.EventBody {
+		return control.ObjectDeleted{Effect: e.ID, Outcome: o}
+	})
+}
+
 func (c *Client) objectURL(name string) url.URL {
 	return url.URL{Scheme: "http", Host: c.address, Path: wire.PathObjects + name}
 }
--- a/standin/platform/event.go
+++ b/standin/platform/event.go
@@ -35,6 +35,12 @@
 	Bytes    []byte
 }
 
+// ObjectDeleteRequested deletes an object.
+type ObjectDeleteRequested struct {
+	Exchange exchange.ID
+	Name     string
+}
+
 // ObjectRequested asks for an object.
 type ObjectRequested struct {
 	Exchange exchange.ID
@@ -65,16 +71,17 @@
 // TimerFired is never due: the platform acts only on requests.
 type TimerFired struct{}
 
-func (CommitRequested) isEvent()    {}
-func (RowsRequested) isEvent()      {}
-func (RowRequested) isEvent()       {}
-func (ObjectPutRequested) isEvent() {}
-func (ObjectRequested) isEvent()    {}
-func (HostListRequested) isEvent()  {}
-func (HostChanged) isEvent()        {}
-func (FaultsChanged) isEvent()      {}
-func (StatsRequested) isEvent()     {}
-func (TimerFired) isEvent()         {}
+func (CommitRequested) isEvent()       {}
+func (RowsRequested) isEvent()         {}
+func (RowRequested) isEvent()          {}
+func (ObjectPutRequested) isEvent()    {}
+func (ObjectDeleteRequested) isEvent() {}
+func (ObjectRequested) isEvent()       {}
+func (HostListRequested) isEvent()     {}
+func (HostChanged) isEvent()           {}
+func (FaultsChanged) isEvent()         {}
+func (StatsRequested) isEvent()        {}
+func (TimerFired) isEvent()            {}
 
 // Answer is the only effect: it answers the HTTP request of the exchange.
 type Answer struct {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -60,6 +60,11 @@
 			})
 		}
 	})
+	s.mux.HandleFunc("DELETE "+wire.PathObjects+"{name...}", func(w http.ResponseWriter, r *http.Request) {
+		s.serveEvent(w, r, func(id exchange.ID) Event {
+			return ObjectDeleteRequested{Exchange: id, Name: r.PathValue("name")}
+		})
+	})
 	s.mux.HandleFunc("GET "+wire.PathObjects+"{name...}", func(w http.ResponseWriter, r *http.Request) {
 		s.serveEvent(w, r, func(id exchange.ID) Event { return ObjectRequested{Exchange: id, Name: r.PathValue("name")} })
 	})
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -14,6 +14,7 @@
 	now     time.Duration
 	table   table
 	objects map[string][]byte
+	stored  int // bytes of all objects
 	hosts   hostList
 	faults  wire.Faults
 	stats   wire.StoreStats
@@ -48,6 +49,8 @@
 		s.withFaults(e.Exchange, func() (int, any) { return s.row(e.Key) })
 	case ObjectPutRequested:
 		s.withFaults(e.Exchange, func() (int, any) { return s.putObject(e) })
+	case ObjectDeleteRequested:
+		s.withFaults(e.Exchange, func() (int, any) { return s.deleteObject(e.Name) })
 	case ObjectRequested:
 		s.withFaults(e.Exchange, func() (int, any) { return s.object(e.Name) })
 	case HostListRequested:
@@ -120,8 +123,21 @@
 	return http.StatusOK, s.table.get(key)
 }
 
+// maxStoredBytes is the size of all objects together.
+const maxStoredBytes = 400_000_000
+
 func (s *State) putObject(e ObjectPutRequested) (int, any) {
-	s.objects[e.Name] = e.Bytes
+	stored := s.stored - len(s.objects[e.Name]) + len(e.Bytes)
+	if stored > maxStoredBytes {
+		return http.StatusInsufficientStorage, wire.Refusal{Reason: "the object store is full"}
+	}
+	s.objects[e.Name], s.stored = e.Bytes, stored
+	return http.StatusOK, nil
+}
+
+func (s *State) deleteObject(name string) (int, any) {
+	s.stored -= len(s.objects[name])
+	delete(s.objects, name)
 	return http.StatusOK, nil
 }
 
--- a/standin/platform/state_test.go
+++ b/standin/platform/state_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// Guards against an object store that never fills up, and one that stays full after its
+// objects were deleted.
+func TestObjectStoreFillsUp(t *testing.T) {
+	s := New(1)
+	large := make([]byte, maxStoredBytes/2)
+	put := func(name string, body []byte) int {
+		return send(t, s, 0, ObjectPutRequested{Name: name, Bytes: body}).Status
+	}
+	if a, b := put("a", large), put("b", large); a != http.StatusOK || b != http.StatusOK {
+		t.Errorf("statuses %d and %d of objects that fit", a, b)
+	}
+	if c := put("c", []byte{1}); c != http.StatusInsufficientStorage {
+		t.Errorf("status %d of an object that does not fit", c)
+	}
+	send(t, s, 0, ObjectDeleteRequested{Name: "a"})
+	if c, a := put("c", []byte{1}), send(t, s, 0, ObjectRequested{Name: "a"}).Status; c != http.StatusOK || a != http.StatusNotFound {
+		t.Errorf("after a deletion: status %d of a write, %d of a read of the deleted object", c, a)
+	}
+}
+
 // Guards against a fault that changes whether a request takes effect: requests
 // that are refused or hang must not, requests whose answer is lost must.
 func TestFaults(t *testing.T) {
