control: checkpoints that no row names any more are deleted

The owner deletes a checkpoint once the row is durable that names a newer one or none, and the one that an evicted run may have written when its row does not name it. The marker of a task that moved to another partition deletes nothing.

--- a/core/control/task_evict_test.go
+++ b/core/control/task_evict_test.go
@@ -195,3 +195,36 @@
 	})
 	w.check(t)
 }
+
+// Guards against checkpoints that fill the object store because nothing deletes those
+// that no row names any more, and against the loss of one that a row still names.
+func TestUnusedCheckpointsAreDeleted(t *testing.T) {
+	w := taskWorld(64, 2, 8)
+	study, gone := batchRow("study", 8, 2000, 2*time.Minute), batchRow("gone", 4, 1000, time.Hour)
+	w.apply(t, study, gone)
+	w.expect(t, 10*time.Second, "all run", func() bool { return len(w.runs("study"))+len(w.runs("gone")) == 12 })
+	written := make(map[string]bool)
+	for round := range 8 {
+		for i, x := range w.workers {
+			x.spec.State = structs.HostLive
+			if i%2 == round%2 {
+				x.spec.State = structs.HostLeaving
+			}
+		}
+		w.run(15 * time.Second)
+		for name := range w.checkpoints {
+			written[name] = true
+		}
+		if len(w.checkpoints) > 12 {
+			t.Errorf("%d checkpoints of 12 tasks in round %d", len(w.checkpoints), round)
+		}
+	}
+	w.apply(t, study)
+	w.expect(t, 5*time.Minute, "all are finished", func() bool { return w.inPhase("study", structs.TaskFinished) == 8 })
+	w.expect(t, 30*time.Second, "the removed tasks are gone", func() bool { return len(w.tasks("gone")) == 0 })
+	w.run(5 * time.Second)
+	if len(written) < 24 || len(w.checkpoints) > 0 {
+		t.Errorf("%d checkpoints were written, want 24 or more; %d are left", len(written), len(w.checkpoints))
+	}
+	w.check(t)
+}
--- a/core/control/tasks_save.go
+++ b/core/control/tasks_save.go
@@ -36,6 +36,7 @@
 	if !c.t.writeCommitted() {
 		return
 	}
+	s.deleteUnusedCheckpoints(c.t)
 	if c.t.row.Phase == structs.TaskEvicting {
 		c.t.run.evictedAt = s.now
 	}
@@ -46,6 +47,9 @@
 // is durable, so that it cannot be created again earlier.
 func (s *State) deleteTask(o *ownedPartition, t *task, w *workerState) {
 	s.dequeue(o, t)
+	if t.row.Phase != structs.TaskMoved {
+		t.dropCheckpoint() // the checkpoint of a moved task belongs to the other partition
+	}
 	o.tasks.setPhase(t, structs.TaskStopped)
 	t.row.Worker = ""
 	t.writeSubmitted()
@@ -60,6 +64,7 @@
 type taskDeleted struct{ t *task }
 
 func (c taskDeleted) changeCommitted(s *State, o *ownedPartition) {
+	s.deleteUnusedCheckpoints(c.t)
 	o.tasks.remove(c.t)
 	if s.configUpToDate(o) {
 		s.reconcileSlot(o, c.t.row.Row, c.t.row.Index, c.t.row.Run)
--- a/core/control/tasks_settle.go
+++ b/core/control/tasks_settle.go
@@ -23,6 +23,10 @@
 		// Not the requested checkpoint: the run counts as stopped.
 		st.State, st.Detail = structs.RunStopped, "its checkpoint has another name"
 	}
+	if t.row.Phase == structs.TaskEvicting {
+		// Its worker may have written it, whether or not the row will name it.
+		t.unusedCheckpoints = append(t.unusedCheckpoints, checkpointObject(t.ref()))
+	}
 	duration := s.now - t.run.runningSince
 	wasTarget := t.answersCalls()
 	s.releaseRun(o, t, w)
@@ -75,6 +79,7 @@
 // recordCheckpoint sets the checkpoint of the ended run in the task's row.
 func (s *State) recordCheckpoint(t *task, st structs.RunStatus) {
 	if st.State == structs.RunCheckpointed {
+		t.dropCheckpoint()
 		t.row.Checkpoint = st.Checkpoint
 		t.resumeProgress = t.run.progress
 	}
@@ -103,6 +108,7 @@
 	if t.row.Checkpoint == "" && t.run.runningSince > 0 && t.run.startsSent > 0 {
 		r.runTime.Learn(duration)
 	}
+	t.dropCheckpoint()
 	s.recordWorkerSuccess(o, w)
 	s.recordDecision(DecisionRecord{
 		Part: "placement", Action: "finished", Subject: string(t.row.Task), Where: string(w.id), Request: string(t.row.Task),
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -89,6 +89,9 @@
 	chargedTeam         string // team whose usage includes the commitment
 	unplaceableReported bool   // the decision that no worker is large enough was recorded
 
+	// unusedCheckpoints are objects that the row no longer names once it is durable.
+	unusedCheckpoints []string
+
 	resumeProgress float64         // progress at the checkpoint that the next run resumes from; shows how much the resumption loses
 	failures       int             // since the last success; determines the delay before a retry
 	replacedAt     Instant         // when a replacement was created
