control: one message with the targets of a partition is in flight to a peer

Each change of the targets, up to 20 a second for a partition, sent a message to each peer, which a peer that does not answer held for its second: with six partitions 120 at once, of the 64 that the pool for all peers sends, so that heartbeats to the others came late. A change during a message is sent after it, with the newest targets.

--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -28,6 +28,10 @@
 
 	rowVersion structs.Version // of its row in the store
 	rowSince   Instant         // when this version of the row was first read
+
+	// endpoints has the partitions whose targets are being sent to the peer; true:
+	// they have changed since.
+	endpoints map[structs.PartitionID]bool
 }
 
 // membership holds the other entry hosts known to this one.
@@ -48,7 +52,7 @@
 	if i < len(m.peers) && m.peers[i].address == address {
 		return m.peers[i]
 	}
-	p := &peer{address: address, addedAt: s.now}
+	p := &peer{address: address, addedAt: s.now, endpoints: make(map[structs.PartitionID]bool)}
 	if len(m.peers) >= entryHostLimit {
 		return p // not kept: nothing is sent to it
 	}
--- a/core/control/membership_test.go
+++ b/core/control/membership_test.go
@@ -59,3 +59,49 @@
 	w.run(time.Second)
 	w.check(t)
 }
+
+// Guards against one peer that does not answer and to which each change of the targets
+// sends a message: these filled the pool that the messages to all peers share.
+func TestSilentPeerGetsOneMessageOfTargets(t *testing.T) {
+	w := taskWorld(18, 2, 16)
+	silent := w.nodes[2]
+	silent.freeze()
+	inFlight, most := map[control.EffectID]bool{}, 0
+	for _, n := range w.nodes[:2] {
+		n.observe = func(e control.Event, effects []control.Effect) {
+			if sent, ok := e.Body.(control.PeerSent); ok && n == w.nodes[0] {
+				delete(inFlight, sent.Effect)
+			}
+			for _, f := range effects {
+				m, ok := f.(control.SendPeer)
+				if _, targets := m.Message.(control.Endpoints); ok && targets && n == w.nodes[0] && m.Address == silent.address {
+					inFlight[m.ID] = true
+					most = max(most, len(inFlight))
+				}
+			}
+		}
+		n.intercept = func(e control.Effect) bool {
+			m, ok := e.(control.SendPeer)
+			if !ok || m.Address != silent.address {
+				return false
+			}
+			n.post(m.Timeout, control.PeerSent{Effect: m.ID, Outcome: control.OutcomeUnknown})
+			return true
+		}
+	}
+	for count := 1; count <= 24; count++ {
+		w.apply(t, portalRow(count))
+		w.run(200 * time.Millisecond)
+	}
+	if most == 0 || most > 2 {
+		t.Errorf("%d messages of targets to the silent peer at once, want one for each of 2 partitions at most", most)
+	}
+	silent.thaw()
+	for _, n := range w.nodes {
+		n.intercept = nil
+	}
+	w.expect(t, 10*time.Second, "the peer has all targets", func() bool {
+		services := silent.status().Services
+		return len(services) == 1 && services[0].Targets == 24
+	})
+}
--- a/core/control/routes.go
+++ b/core/control/routes.go
@@ -36,7 +36,42 @@
 	}
 	m := Endpoints{Partition: o.partition.id, Epoch: o.epoch, Version: version, Targets: targets}
 	s.setRoutes(m)
-	s.broadcast(m)
+	for _, p := range s.members.peers {
+		if p.address != s.self.Address {
+			s.sendTargets(p, o.partition.id)
+		}
+	}
+}
+
+// sendTargets sends the targets of an owned partition to a peer. One message for each
+// partition is in flight to a peer, and a later one carries the newest targets: a peer
+// that does not answer must not fill the pool that the messages to all peers share.
+func (s *State) sendTargets(p *peer, id structs.PartitionID) {
+	if _, inFlight := p.endpoints[id]; inFlight {
+		p.endpoints[id] = true
+		return
+	}
+	p.endpoints[id] = false
+	r := s.routes.byPartition[id]
+	s.emit(SendPeer{
+		ID: s.effectID(targetsSent{p, id}), Address: p.address, Timeout: peerTimeout,
+		Message: Endpoints{Partition: id, Epoch: r.epoch, Version: r.version, Targets: r.targets},
+	})
+}
+
+// targetsSent handles the outcome of a message with targets. A peer that did not get it
+// learns of the version from a heartbeat and asks for the targets.
+type targetsSent struct {
+	p  *peer
+	id structs.PartitionID
+}
+
+func (c targetsSent) complete(s *State, _ EventBody) {
+	changed := c.p.endpoints[c.id]
+	delete(c.p.endpoints, c.id)
+	if changed && s.partitions[c.id].owned != nil {
+		s.sendTargets(c.p, c.id)
+	}
 }
 
 func (s *State) receiveEndpoints(m Endpoints) {
