control: one answer of a worker leads to 32 stop commands at most

A worker that lists runs which no row names gets a stop command for each of them, in one event: 5,000 runs filled the pool of requests to all workers and the log. TestManyUnknownRuns: 5,000 stop commands in one event before, at most 32 after.

--- a/core/control/tasks_sync.go
+++ b/core/control/tasks_sync.go
@@ -10,6 +10,10 @@
 // worker.
 const stableRunTime = 10 * time.Second
 
+// maxUnknownRunsStopped bounds the stop commands that follow one answer of a worker for
+// runs which are not in the partition's rows. The next answer lists the others again.
+const maxUnknownRunsStopped = 32
+
 // syncWorkers runs periodically for each owned partition: it renews the leases on
 // the workers, requests the state of their runs and handles what waits for a
 // deadline.
@@ -85,7 +89,14 @@
 	}
 	c.w.missedSyncs = 0
 	s.workerAnswered(c.o, c.w, r)
+	unknown := 0
 	for _, run := range r.Runs {
+		if s.isUnknownRun(c.o, c.w, run) {
+			if unknown++; unknown <= maxUnknownRunsStopped {
+				s.stopUnknownRun(c.o, c.w, RunRef{run.Task, run.Run})
+			}
+			continue
+		}
 		s.handleRunStatus(c.o, c.w, run, c.sent)
 	}
 	s.learnUsage(c.o, c.w, r.Usage)
@@ -133,15 +144,19 @@
 	}
 }
 
+// isUnknownRun reports whether a running run is not in the partition's rows.
+func (s *State) isUnknownRun(o *ownedPartition, w *workerState, st structs.RunStatus) bool {
+	ref := RunRef{st.Task, st.Run}
+	t := o.tasks.byID[st.Task]
+	known := t != nil && t.isRun(ref) && t.row.Worker == w.id
+	return st.State == structs.RunRunning && !known && !w.hasCommitment(ref)
+}
+
 // handleRunStatus processes a worker's status of one run. A status sent before
 // the last command to the run was answered is out of date.
 func (s *State) handleRunStatus(o *ownedPartition, w *workerState, st structs.RunStatus, sent Instant) {
-	ref := RunRef{st.Task, st.Run}
 	t := o.tasks.byID[st.Task]
-	if t == nil || !t.isRun(ref) || t.row.Worker != w.id {
-		if st.State == structs.RunRunning && !w.hasCommitment(ref) {
-			s.stopUnknownRun(o, w, ref)
-		}
+	if t == nil || !t.isRun(RunRef{st.Task, st.Run}) || t.row.Worker != w.id {
 		return
 	}
 	if t.writing {
--- a/core/control/worker_fault_test.go
+++ b/core/control/worker_fault_test.go
@@ -255,3 +255,31 @@
 	}
 	w.check(t)
 }
+
+// Guards against a faulty worker that lists thousands of runs nobody knows, and whose stop
+// commands fill the pool of requests to all workers.
+func TestManyUnknownRuns(t *testing.T) {
+	w := taskWorld(19, 1, 4)
+	odd := w.workers[0]
+	for i := range 5000 {
+		odd.extraStatuses = append(odd.extraStatuses, structs.RunStatus{Task: structs.TaskID(fmt.Sprint("ghost.", i)), Run: 1, State: structs.RunRunning})
+	}
+	most, stops := 0, 0
+	for _, n := range w.nodes {
+		n.observe = func(_ control.Event, effects []control.Effect) {
+			count := 0
+			for _, e := range effects {
+				if _, ok := e.(control.StopTask); ok {
+					count++
+				}
+			}
+			most, stops = max(most, count), stops+count
+		}
+	}
+	w.apply(t, batchRow("study", 8, 1000, time.Hour))
+	w.expect(t, 10*time.Second, "all run", func() bool { return len(w.runs("study")) == 8 })
+	if most > 32 || stops == 0 {
+		t.Errorf("%d stop commands in one event, want 1 to 32; %d in all", most, stops)
+	}
+	w.check(t)
+}
