control, sheet: a configuration asks for 200,000 replicas and tasks at most

Rows were limited to 50,000 each, and a sheet to 20,000 rows, but not their product: each task has a row in the store and in its owner's memory. A sheet over the limit, which is six times the running tasks to design for, is refused at once. TestSheetOfTooManyTasksIsRefused: a sheet of 250,000 tasks was accepted before.

--- a/core/control/config_limits_test.go
+++ b/core/control/config_limits_test.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// Guards against a sheet of so many tasks that their rows fill the store and the memory of
+// the hosts: each of its rows is within its own limit.
+func TestSheetOfTooManyTasksIsRefused(t *testing.T) {
+	w := smallWorld(20)
+	w.run(3 * time.Second)
+	for id, rows := range map[control.OperatorRequestID]int{1: 5, 2: 4} {
+		var large []structs.SheetRow
+		for i := range rows {
+			large = append(large, batchRow(fmt.Sprint("large-", i), 50_000, 1, time.Hour))
+		}
+		n := w.nodes[id]
+		n.applySheet(id, large...)
+		if r := w.answered(t, n, id); r.Accepted != (rows == 4) || r.Accepted == strings.Contains(r.Reason, "tasks") {
+			t.Errorf("a sheet of %d tasks: accepted %v, %s", rows*50_000, r.Accepted, r.Reason)
+		}
+	}
+}
+
 // Guards against requests that wait in memory without a bound, each with a whole sheet.
 func TestWaitingChangesAreBounded(t *testing.T) {
 	w := smallWorld(15)
--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -184,7 +184,9 @@
 // sizeRefusal returns why a configuration is too large to be stored and sent, or an
 // empty string. Merged changes may be too large although each of them is not.
 func sizeRefusal(c *structs.Configuration) string {
-	switch n := c.Bytes(); {
+	switch n, tasks := c.Bytes(), sheet.TotalTasks(c.Rows); {
+	case tasks > sheet.MaxTasks:
+		return fmt.Sprintf("the sheet asks for %d replicas and tasks with the changes of others; at most %d are accepted", tasks, sheet.MaxTasks)
 	case len(c.Rows) > sheet.MaxRows:
 		return fmt.Sprintf("the sheet has %d rows with the changes of others; at most %d are accepted", len(c.Rows), sheet.MaxRows)
 	case n > maxConfigurationBytes:
--- a/core/sheet/limits.go
+++ b/core/sheet/limits.go
@@ -5,6 +5,7 @@
 const (
 	MaxBytes     = 8 << 20 // size of a sheet's file, bytes
 	MaxRows      = 20_000  // rows that are not empty
+	MaxTasks     = 200_000 // replicas and tasks of all rows; each has a row in the store and in its owner's memory
 	MaxNameBytes = 100     // length of a name, bytes; names become part of URL paths and row keys
 	MaxTextBytes = 4096    // length of a command, bytes
 	MaxFaults    = 10_000  // faults reported for one sheet; limits the memory that a broken file can take
