control: the recorded type of a result is bounded

A target's Content-Type went into the row of the claim at any length: with 60,000 bytes the row was over the limit, and the result with everything in its transaction was refused. A result whose type has more than 256 bytes is recorded without its body.

--- a/core/control/claim_limits_test.go
+++ b/core/control/claim_limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,22 @@
 		t.Errorf("%d orders refused, %d ran, %d results without body; want 1, %d and 1", answers, dispatched, omitted, orders-1)
 	}
 }
+
+// Guards against a target's header that makes the row of a result larger than the store
+// takes.
+func TestResultWithALongContentType(t *testing.T) {
+	h := newHarness(t, 2, 8)
+	h.keyedCall("a")
+	h.committed(h.takeClaimCommit(), 5)
+	d := takeOne[control.DispatchCall](h)
+	h.apply(control.AnswerFinished{
+		Call: d.Call, Attempt: d.Attempt, Outcome: control.OutcomeDone, Status: 201,
+		ContentType: strings.Repeat("<", 60_000), Body: []byte("answer"),
+	})
+	h.advance(time.Second)
+	c := h.takeClaimCommit()
+	row := c.Writes[0].Row.(structs.ClaimRow)
+	if reason := overLimit(c); reason != "" || row.State != structs.ClaimFinished || row.Status != 201 || !row.BodyOmitted {
+		t.Errorf("%s, state %s, status %d, body omitted: %v", reason, row.State, row.Status, row.BodyOmitted)
+	}
+}
--- a/core/control/claims.go
+++ b/core/control/claims.go
@@ -11,6 +11,9 @@
 	maxClaimKeyBytes = 255             // bytes of an idempotency key
 	maxClaims        = 16384           // claims in memory; further keyed calls are answered as not run
 	maxRecordedBody  = 16 << 10        // bytes of an answer's body stored in the claim's row
+	// maxRecordedContentType bounds the type of a recorded body, in bytes; a body with a
+	// longer one is not recorded.
+	maxRecordedContentType = 256
 )
 
 // claimOp is the next write to a claim's row.
@@ -142,8 +145,8 @@
 	cl.call, cl.op = nil, claimOpRecord
 	cl.row.State = state
 	cl.row.Status, cl.row.ContentType, cl.row.BodyOmitted = r.Status, r.ContentType, r.BodyOmitted
-	if len(r.Body) > maxRecordedBody {
-		cl.row.BodyOmitted = true
+	if len(r.Body) > maxRecordedBody || len(r.ContentType) > maxRecordedContentType {
+		cl.row.ContentType, cl.row.BodyOmitted = "", true
 	} else {
 		cl.row.Body = r.Body
 	}
