control: the inbox of a partition is read to its end

A read took the first 200 rows. Tasks that the store refuses to move stay in the inbox, and 200 of them hid every later one for ever. The read goes on page by page. TestRefusedTransfersDoNotHideOthers: the task behind 210 refused ones was never taken before.

--- a/core/control/store_limits_test.go
+++ b/core/control/store_limits_test.go
@@ -151,3 +151,29 @@
 	}
 	w.check(t)
 }
+
+// Guards against tasks in an inbox that the store refuses to move and that hide the tasks
+// behind them, on a page that is never read.
+func TestRefusedTransfersDoNotHideOthers(t *testing.T) {
+	w := newWorld(10, 1)
+	w.store.rejects = func(x structs.Write) bool {
+		row, ok := x.Row.(structs.TaskRow)
+		return ok && row.Row == "odd"
+	}
+	row := structs.TaskRow{Kind: structs.KindBatch, Phase: structs.TaskPending, Row: "odd"}
+	for i := range 210 {
+		row.Task, row.Index = structs.TaskID(fmt.Sprintf("odd.%d", i)), i
+		w.store.revision++
+		w.store.set(structs.Write{Key: structs.InboxKey(0, row.Task), Row: row})
+	}
+	row.Task, row.Row, row.Index = "study.0", "study", 0
+	w.store.revision++
+	w.store.set(structs.Write{Key: structs.InboxKey(0, row.Task), Row: row})
+	w.addHosts(4)
+	w.expect(t, 10*time.Minute, "the task behind them is taken", func() bool {
+		return w.store.get(structs.InboxKey(0, "study.0")).Row == nil
+	})
+	if w.store.get(structs.InboxKey(0, "odd.0")).Row == nil {
+		t.Error("a refused task was dropped from the inbox")
+	}
+}
--- a/core/control/tasks_inbox.go
+++ b/core/control/tasks_inbox.go
@@ -56,18 +56,26 @@
 	return list
 }
 
-// readInbox reads the tasks that other partitions transferred to this one. One
-// read is in flight at a time.
+// readInbox reads the tasks that other partitions transferred to this one, page by
+// page: rows that cannot be taken must not hide those behind them. One read is in flight
+// at a time.
 func (s *State) readInbox(o *ownedPartition) {
 	if o.tasks.inbox.reading {
 		o.tasks.inbox.rereadRequested = true
 		return
 	}
 	o.tasks.inbox.reading, o.tasks.inbox.rereadRequested = true, false
-	s.emit(ReadRows{ID: s.effectID(inboxRead{o}), Prefix: structs.InboxKeyPrefix(o.partition.id), Limit: maxRowsPerRead, Timeout: storeTimeout})
+	s.readInboxPage(o, "")
 }
 
-// inboxRead handles the rows of the inbox.
+func (s *State) readInboxPage(o *ownedPartition, after structs.RowKey) {
+	s.emit(ReadRows{
+		ID: s.effectID(inboxRead{o}), Prefix: structs.InboxKeyPrefix(o.partition.id), After: after,
+		Limit: maxRowsPerRead, Timeout: storeTimeout,
+	})
+}
+
+// inboxRead handles one page of the inbox.
 type inboxRead struct{ o *ownedPartition }
 
 func (c inboxRead) complete(s *State, result EventBody) {
@@ -85,6 +93,11 @@
 			}
 		}
 	}
+	if r.Outcome == OutcomeDone && r.More && len(r.Rows) > 0 && o.outboxHasCapacity() {
+		o.tasks.inbox.reading = true
+		s.readInboxPage(o, r.Rows[len(r.Rows)-1].Key)
+		return
+	}
 	if o.tasks.inbox.rereadRequested {
 		s.readInbox(o)
 	}
