control, entry: a row that can't be decoded costs what it describes only

One row that the client could not decode failed the whole read or answer: its partition was never loaded by a new owner, one among the partitions' rows stopped every takeover, one among the entry hosts' rows made the store count as unreachable, and a conflict was repeated for ever. Such a row is now passed on as UnreadableRow, reported once, and left as it is: a partition is not taken over without its epoch, the slot of a task is not filled anew, the row of a worker is restored from those of its tasks, and a configuration stays in force.

--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -20,9 +20,13 @@
 	failures     int
 	transactions map[uint64]*transaction // waiting for a retry, by number
 	lastNumber   uint64
+	unreadable   map[structs.RowKey]structs.Version // rows reported as unreadable
 }
 
-func (st *storeState) start(*State) { st.transactions = make(map[uint64]*transaction) }
+func (st *storeState) start(*State) {
+	st.transactions = make(map[uint64]*transaction)
+	st.unreadable = make(map[structs.RowKey]structs.Version)
+}
 
 // reachable reports whether one of the last storeFailureLimit requests to the
 // store was answered.
--- a/core/control/configuration.go
+++ b/core/control/configuration.go
@@ -74,6 +74,9 @@
 // names if that is newer than the one in force.
 func (s *State) handleConfigHead(read structs.KeyedRow) {
 	row, _ := read.Row.(structs.ConfigHead)
+	if read.Unreadable() {
+		return // the configuration in force stays
+	}
 	if s.config.headRead && read.Version < s.config.headVersion {
 		return
 	}
--- a/core/control/ownership_test.go
+++ b/core/control/ownership_test.go
@@ -236,3 +236,71 @@
 	}
 	w.checkViolations(t)
 }
+
+// spoil replaces rows of the store by ones that cannot be decoded.
+func (w *world) spoil(keys ...structs.RowKey) {
+	for _, key := range keys {
+		w.store.revision++
+		w.store.set(structs.Write{Key: key, Row: structs.UnreadableRow{}})
+	}
+}
+
+// Guards against one row that cannot be decoded and that keeps its partition from being
+// loaded for ever, lets a task run twice, or frees capacity that is in use.
+func TestUnreadableRowsOfAPartition(t *testing.T) {
+	w := taskWorld(11, 1, 8)
+	study, portal := batchRow("study", 10, 4000, time.Hour), portalRow(4)
+	w.apply(t, study, portal)
+	w.expect(t, 15*time.Second, "all run", func() bool { return len(w.runs("study"))+len(w.runs("portal")) == 14 })
+	used := w.committed()
+	odd := w.runs("study")[0].ref.Task
+	owner := w.anyOwner()
+	owner.kill()
+	w.spoil(structs.TaskKey(0, odd), structs.WorkerKey(0, w.busiest().spec.ID))
+	w.expect(t, 15*time.Second, "another owner", func() bool { return w.countDecisions("took over", "") == 2 })
+	w.run(60 * time.Second)
+	if n := len(w.runs("study")); n < 9 || n > 10 {
+		t.Errorf("%d tasks of the study run, want the 9 readable ones", n)
+	}
+	if n := w.countDecisions("row cannot be read", ""); n != 2 {
+		t.Errorf("%d rows were reported as unreadable, want 2", n)
+	}
+	w.apply(t, study, portalRow(6), batchRow("more", 2, 1000, time.Hour))
+	w.expect(t, 15*time.Second, "new work runs", func() bool { return len(w.runs("portal")) == 6 && len(w.runs("more")) == 2 })
+	if _, unreadable := w.store.get(structs.TaskKey(0, odd)).Row.(structs.UnreadableRow); !unreadable {
+		t.Error("the unreadable row of the task was overwritten")
+	}
+	if more := w.committed(); more.MilliCores < used.MilliCores-4000 {
+		t.Errorf("%+v are committed, %+v before", more, used)
+	}
+	w.check(t)
+}
+
+// Guards against the unreadable row of one partition that keeps hosts from taking over
+// the others, or under which the partition is taken with a lower epoch.
+func TestUnreadablePartitionRow(t *testing.T) {
+	w := taskWorld(12, 3, 8)
+	w.apply(t, portalRow(6))
+	w.expect(t, 15*time.Second, "all run", func() bool { return len(w.runs("portal")) == 6 })
+	owned := w.owners()
+	dead := w.anyOwner()
+	for _, n := range w.nodes {
+		if len(owned[0]) == 1 && n.host == owned[0][0] {
+			dead = n
+		}
+	}
+	dead.kill()
+	w.spoil(structs.PartitionKey(0), structs.EntryHostKey(dead.host))
+	w.run(30 * time.Second)
+	for p := range structs.PartitionID(3) {
+		if n := len(w.owners()[p]); p > 0 && n != 1 || p == 0 && n != 0 {
+			t.Errorf("partition %d has %d owners", p, n)
+		}
+	}
+	for _, n := range w.live() {
+		if !n.status().StoreReachable {
+			t.Errorf("%s takes the store for unreachable", n.host)
+		}
+	}
+	w.check(t)
+}
--- a/core/control/partition.go
+++ b/core/control/partition.go
@@ -111,8 +111,8 @@
 // been silent for long enough.
 func (s *State) handlePartitionRow(p *partition, read structs.KeyedRow) {
 	row, _ := read.Row.(structs.PartitionRow)
-	if p.owned != nil || p.acquiring {
-		return
+	if p.owned != nil || p.acquiring || read.Unreadable() {
+		return // without its epoch, a partition can't be taken over
 	}
 	if !p.rowRead || read.Version > p.version {
 		// A new version is a sign of life only if the row was also read after the
--- a/core/control/partition_load.go
+++ b/core/control/partition_load.go
@@ -39,7 +39,7 @@
 	}
 	for _, row := range r.Rows {
 		o.versions[row.Key] = row.Version
-		s.loadRow(o, row.Row)
+		s.loadRow(o, row)
 	}
 	switch {
 	case r.More && len(r.Rows) > 0:
--- a/core/control/reduce.go
+++ b/core/control/reduce.go
@@ -23,8 +23,10 @@
 	case TimerFired:
 		// No state to change: Reduce fires due timers after every event.
 	case Committed:
+		s.reportUnreadable(b.Conflicts)
 		s.completeEffect(b.Effect, b)
 	case RowsRead:
+		s.reportUnreadable(b.Rows)
 		s.completeEffect(b.Effect, b)
 	case ObjectWritten:
 		s.completeEffect(b.Effect, b)
--- a/core/control/tasks_config_head.go
+++ b/core/control/tasks_config_head.go
@@ -39,6 +39,9 @@
 	if len(r.Rows) > 0 {
 		head = r.Rows[0]
 	}
+	if head.Unreadable() {
+		return // nothing is decided by a sheet that may be older than the former owner's
+	}
 	row, _ := head.Row.(structs.ConfigHead)
 	h.known, h.minGeneration = true, row.Generation
 	s.handleConfigHead(head)
--- a/core/control/tasks_inbox.go
+++ b/core/control/tasks_inbox.go
@@ -108,6 +108,9 @@
 // detects that.
 func (s *State) acceptTransfer(o *ownedPartition, read structs.KeyedRow, row structs.TaskRow) {
 	t := o.tasks.byID[row.Task]
+	if o.tasks.unreadable[slotPrefix(row.Task)] {
+		return // its key may be that of the unreadable row
+	}
 	if t != nil && (t.row.Phase != structs.TaskMoved || t.writing || t.inboxVersion >= read.Version) {
 		return
 	}
@@ -187,6 +190,9 @@
 // not count: two markers must not keep each other alive.
 func (c markerCheck) destinationHasTask(rows []structs.KeyedRow) bool {
 	for _, kr := range rows {
+		if kr.Unreadable() {
+			return true // it may be the task
+		}
 		row, ok := kr.Row.(structs.TaskRow)
 		if !ok || row.Row != c.t.row.Row || row.Index != c.t.row.Index {
 			continue
--- a/core/control/tasks_reconcile.go
+++ b/core/control/tasks_reconcile.go
@@ -93,7 +93,7 @@
 func (s *State) reconcileSlot(o *ownedPartition, name string, index int, lastRun structs.Run) {
 	id := taskID(name, index, 0)
 	if HomePartition(name, index, len(s.partitions)) != o.partition.id || o.tasks.byID[id] != nil ||
-		len(o.tasks.bySlot[slotKey{name, index}]) > 0 {
+		len(o.tasks.bySlot[slotKey{name, index}]) > 0 || o.tasks.unreadable[id] {
 		return
 	}
 	row, ok := s.config.row(name)
--- a/core/control/tasks_replace.go
+++ b/core/control/tasks_replace.go
@@ -62,7 +62,8 @@
 // The old replica keeps its commitment until its run has certainly ended.
 func (s *State) replaceReplica(o *ownedPartition, t *task, reason string) {
 	r := s.rowOf(o, t.row.Row)
-	if t.row.Kind != structs.KindService || t.intent != intentKeep || !r.listed || r.stopped || o.tasks.newest(t) != t {
+	if t.row.Kind != structs.KindService || t.intent != intentKeep || !r.listed || r.stopped || o.tasks.newest(t) != t ||
+		o.tasks.unreadable[slotPrefix(t.row.Task)] {
 		return
 	}
 	id := taskID(t.row.Row, t.row.Index, replacementNumber(t.row.Task)+1)
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -27,6 +27,7 @@
 	countByRow       map[string]int // number of tasks by sheet row
 	workers          map[structs.WorkerID]*workerState
 	workerList       []*workerState               // by id
+	unreadable       map[structs.TaskID]bool      // slots with an unreadable row, by slotPrefix
 	teamUsage        map[string]structs.Resources // resources committed in this partition, by team
 	quotas           map[string]teamQuota
 	workerCapacities []structs.Resources // distinct capacities of all listed workers
@@ -99,9 +100,11 @@
 }
 
 // loadRow adds one row that was read from the store after a takeover.
-func (s *State) loadRow(o *ownedPartition, row structs.Row) {
+func (s *State) loadRow(o *ownedPartition, kr structs.KeyedRow) {
 	o.tasks.init()
-	switch r := row.(type) {
+	switch r := kr.Row.(type) {
+	case structs.UnreadableRow:
+		s.loadUnreadable(o, kr.Key)
 	case structs.TaskRow:
 		o.tasks.insert(&task{row: r})
 	case structs.WorkerRow:
@@ -125,6 +128,7 @@
 	t.countByRow = make(map[string]int)
 	t.workers = make(map[structs.WorkerID]*workerState)
 	t.teamUsage = make(map[string]structs.Resources)
+	t.unreadable = make(map[structs.TaskID]bool)
 	t.interference = policy.NewInterference()
 }
 
@@ -226,6 +230,7 @@
 // adoptTasks adopts the committed runs in the loaded rows. Nothing is done with a
 // run until its worker has reported its state.
 func (s *State) adoptTasks(o *ownedPartition) {
+	o.tasks.restoreRows()
 	for _, w := range o.tasks.workerList {
 		for _, c := range w.row.Commitments {
 			name := ""
--- a/core/control/tasks_worker.go
+++ b/core/control/tasks_worker.go
@@ -24,14 +24,15 @@
 // workerState is a worker of the partition with its commitments, including those
 // that are not yet durable.
 type workerState struct {
-	id        structs.WorkerID
-	spec      structs.Worker // according to the last host list
-	listed    bool           // in this partition
-	movedAway bool           // listed in a rack of another partition; treated like a leaving worker
-	row       structs.WorkerRow
-	committed structs.Resources
-	rowBytes  int      // upper bound of the encoded size of row's commitments
-	rowNames  []string // sheet row of each commitment, in the same order; empty until adopted
+	id         structs.WorkerID
+	spec       structs.Worker // according to the last host list
+	listed     bool           // in this partition
+	movedAway  bool           // listed in a rack of another partition; treated like a leaving worker
+	row        structs.WorkerRow
+	committed  structs.Resources
+	restoreRow bool     // its row could not be read; the commitments are those of its tasks
+	rowBytes   int      // upper bound of the encoded size of row's commitments
+	rowNames   []string // sheet row of each commitment, in the same order; empty until adopted
 
 	boot           string        // empty until the first answer to this owner
 	clock          time.Duration // worker clock reading in the last answer
--- a/core/record/names.go
+++ b/core/record/names.go
@@ -37,6 +37,8 @@
 	"ClaimRow":     decodeAs[structs.Row, structs.ClaimRow],
 	"ConfigHead":   decodeAs[structs.Row, structs.ConfigHead],
 	"EntryHostRow": decodeAs[structs.Row, structs.EntryHostRow],
+
+	"UnreadableRow": decodeAs[structs.Row, structs.UnreadableRow],
 }
 
 var messageTypes = decoders[control.Message]{
--- a/core/structs/rows.go
+++ b/core/structs/rows.go
@@ -183,12 +183,17 @@
 	Zone     string     `json:"availability_zone"`
 }
 
-func (PartitionRow) isRow() {}
-func (TaskRow) isRow()      {}
-func (WorkerRow) isRow()    {}
-func (ClaimRow) isRow()     {}
-func (ConfigHead) isRow()   {}
-func (EntryHostRow) isRow() {}
+// UnreadableRow stands for a row that is present but could not be decoded. It is never
+// written.
+type UnreadableRow struct{}
+
+func (PartitionRow) isRow()  {}
+func (TaskRow) isRow()       {}
+func (WorkerRow) isRow()     {}
+func (ClaimRow) isRow()      {}
+func (ConfigHead) isRow()    {}
+func (EntryHostRow) isRow()  {}
+func (UnreadableRow) isRow() {}
 
 // KeyedRow is a row read from the table service. A nil Row with Version 0
 // means that the row is absent.
@@ -198,6 +203,12 @@
 	Row     Row
 }
 
+// Unreadable reports whether the row is present but could not be decoded.
+func (r KeyedRow) Unreadable() bool {
+	_, unreadable := r.Row.(UnreadableRow)
+	return unreadable
+}
+
 // Condition requires that a row has a version; 0 requires that it is absent.
 type Condition struct {
 	Key     RowKey
--- a/entry/internal/platform/client.go
+++ b/entry/internal/platform/client.go
@@ -84,7 +84,7 @@
 	return c.endpoint.RefusalOutcome(step, c.address, response)
 }
 
-// decodeConflict decodes the rows of a refused transaction into result. A refusal
+// decodeConflict decodes the rows of a refused transaction into result. An answer
 // that cannot be decoded counts as unknown, so that the same transaction is
 // submitted again.
 func (c *Client) decodeConflict(response transport.Response, result *control.Committed) (control.Outcome, error) {
@@ -92,11 +92,7 @@
 	if err := c.endpoint.Decode("commit", c.address, response, &refusal); err != nil {
 		return control.OutcomeUnknown, err
 	}
-	conflicts, err := decodeRows(refusal.Conflicts)
-	if err != nil {
-		return control.OutcomeUnknown, err
-	}
-	result.Conflicts = conflicts
+	result.Conflicts = decodeRows(refusal.Conflicts)
 	return control.OutcomeNotDone, nil
 }
 
@@ -112,11 +108,7 @@
 		if outcome, err := c.get(ctx, "read-rows", wire.PathRows, query, &page); err != nil {
 			return outcome, err
 		}
-		rows, err := decodeRows(page.Rows)
-		if err != nil {
-			return control.OutcomeUnknown, err
-		}
-		result.Rows, result.More = rows, page.More
+		result.Rows, result.More = decodeRows(page.Rows), page.More
 		return control.OutcomeDone, nil
 	}, func(o control.Outcome) control.EventBody {
 		result.Outcome = o
