control: the targets of a partition fit into one message between hosts

An owner sends all targets of a partition in one message, of which 16 MB are read: 200,000 replicas take 18,288,906 bytes, and no host learned of any. The first 16,384 by task are sent, with a decision line when others are left out; 13,000 replicas to design for take 1,171,905 bytes. TestTargetsFitOneMessage: 16,394 targets before.

--- a/core/control/task_timer_test.go
+++ b/core/control/task_timer_test.go
@@ -25,3 +25,29 @@
 			p.owned.tasks.workScheduled, s.timers.Len()-timers, len(s.effects)-effects)
 	}
 }
+
+// Guards against so many replicas in one partition that the message with its targets is
+// larger than a host reads, so that no host learns of any of them.
+func TestTargetsFitOneMessage(t *testing.T) {
+	s := NewState()
+	Reduce(s, Event{Body: Started{Host: "a", Instance: "a/1", Address: "a", Partitions: 1}})
+	o := &ownedPartition{partition: s.partitions[0]}
+	o.tasks.init()
+	w := o.tasks.addWorker("w")
+	for i := range maxTargets + 10 {
+		x := &task{run: runState{running: true}, row: structs.TaskRow{
+			Task: taskID("portal", i, 0), Row: "portal", Index: i, Kind: structs.KindService, Phase: structs.TaskAssigned, Worker: "w", Run: 1,
+		}}
+		o.tasks.insert(x)
+		w.row.Commitments = append(w.row.Commitments, structs.Commitment{Task: x.row.Task, Run: 1})
+	}
+	s.effects = nil
+	for range 2 {
+		if n := len(s.runningTargets(o)); n != maxTargets {
+			t.Errorf("%d targets are published, want %d", n, maxTargets)
+		}
+	}
+	if len(s.effects) != 1 {
+		t.Errorf("%d decisions say that targets are left out, want 1", len(s.effects))
+	}
+}
--- a/core/control/tasks_report.go
+++ b/core/control/tasks_report.go
@@ -1,13 +1,18 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
+// maxTargets bounds the targets of one partition, which are sent in one message of at
+// most 16 MB. It is more than the replicas of all partitions to design for.
+const maxTargets = 16_384
+
 // runningTargets returns the targets for the service replicas that accept calls,
-// in order of task id.
+// in order of task id, up to maxTargets.
 func (s *State) runningTargets(o *ownedPartition) []structs.Target {
 	var targets []structs.Target
 	for _, w := range o.tasks.workerList {
@@ -23,7 +28,15 @@
 		}
 	}
 	sort.Slice(targets, func(i, j int) bool { return targets[i].Task < targets[j].Task })
-	return targets
+	leftOut := max(0, len(targets)-maxTargets)
+	if (leftOut > 0) != o.tasks.targetsLeftOut {
+		o.tasks.targetsLeftOut = leftOut > 0
+		s.recordDecision(DecisionRecord{
+			Part: "partition", Action: "targets left out", Subject: o.partition.name(),
+			Reason: fmt.Sprintf("%d replicas beyond the first %d get no calls", leftOut, maxTargets),
+		})
+	}
+	return targets[:len(targets)-leftOut]
 }
 
 // answersCalls reports whether the run is a replica that calls may be sent to. If
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -44,6 +44,7 @@
 	configHead       configHeadState
 	adopted          bool // the committed runs in the loaded rows were adopted
 	workScheduled    bool // a step of work is scheduled
+	targetsLeftOut   bool // the published targets are not all
 	targetsDirty     bool // the published targets are out of date
 	publishScheduled bool // a step is scheduled at nextPublish
 	nextPublish      Instant
