--- a/core/control/calls_service.go
+++ b/core/control/calls_service.go
@@ -74,9 +74,27 @@
 		s.refreshServiceRow(svc)
 		s.replaceTargets(svc, s.routes.byService[name])
 		s.serveService(svc)
+		s.forgetUnused(svc)
 	}
 }
 
+// forgetUnusedServices drops what is known of services that the sheet no longer lists.
+func (s *State) forgetUnusedServices() {
+	for _, svc := range s.calls.services {
+		s.forgetUnused(svc) // in any order: each one is judged for itself
+	}
+}
+
+// forgetUnused drops a service that has no row, no target and no call.
+func (s *State) forgetUnused(svc *service) {
+	_, listed := s.config.row(svc.name)
+	if listed || len(svc.targets) > 0 || svc.inFlight > 0 || svc.queues.len() > 0 || svc.waiting {
+		return
+	}
+	delete(s.calls.services, svc.name)
+	delete(s.routes.byService, svc.name)
+}
+
 // replaceTargets replaces the targets of a service and keeps the health and
 // load of the replicas that are in both lists.
 func (s *State) replaceTargets(svc *service, specs []structs.Target) {
--- a/core/control/task_timer_test.go
+++ b/core/control/task_timer_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -51,3 +52,26 @@
 		t.Errorf("%d decisions say that targets are left out, want 1", len(s.effects))
 	}
 }
+
+// Guards against a state that grows with every service there ever was.
+func TestRemovedServicesAreForgotten(t *testing.T) {
+	s := NewState()
+	Reduce(s, Event{Body: Started{Host: "a", Instance: "a/1", Address: "a", Partitions: 1}})
+	version := uint64(0)
+	publish := func(targets ...structs.Target) {
+		version++
+		Reduce(s, Event{Body: PeerMessage{From: "b", Message: Endpoints{Epoch: 1, Version: version, Targets: targets}}})
+	}
+	for i := range 50 {
+		name := fmt.Sprint("service-", i)
+		rows := []structs.SheetRow{{Name: name, Kind: structs.KindService, Count: 1}}
+		Reduce(s, Event{Body: PeerMessage{From: "b", Message: ConfigPush{structs.Configuration{Generation: structs.Generation(i + 1), Rows: rows}}}})
+		publish(structs.Target{Service: name, Task: taskID(name, 0, 0), Worker: "w", Address: "w", Slots: 1})
+		if i%2 == 0 {
+			publish() // before its row is removed
+		}
+	}
+	if len(s.calls.services) > 2 || len(s.routes.byService) > 2 {
+		t.Errorf("%d services and %d lists of targets are kept, want those of the last row", len(s.calls.services), len(s.routes.byService))
+	}
+}
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -260,6 +260,7 @@
 
 // configChanged compares every owned partition with the new configuration.
 func (s *State) configChanged() {
+	s.forgetUnusedServices()
 	for _, p := range s.partitions {
 		if p.owned != nil && p.owned.loaded {
 			s.scheduleReconcile(p.owned)
