--- a/core/control/configuration_apply.go
+++ b/core/control/configuration_apply.go
@@ -314,8 +314,8 @@
 		return true
 	}
 	if !unknown {
-		s.deleteUnusedSheet(g.head.Object)
 		g.apply.reply.Outcome = OutcomeNotDone
+		s.deleteUnusedSheet(g.head.Object)
 		g.apply.reply.Reason = "the table service does not answer; nothing was changed"
 		s.endApply(g.apply, g.apply.reply)
 		return false
