--- a/core/control/claims.go
+++ b/core/control/claims.go
@@ -11,6 +11,9 @@
 	maxClaimKeyBytes = 255             // bytes of an idempotency key
 	maxClaims        = 16384           // claims in memory; further keyed calls are answered as not run
 	maxRecordedBody  = 16 << 10        // bytes of an answer's body stored in the claim's row
+	// maxRecordedContentType bounds the type of a recorded body, in bytes; a body with a
+	// longer one is not recorded.
+	maxRecordedContentType = 256
 )
 
 // claimOp is the next write to a claim's row.
@@ -51,6 +54,7 @@
 	flushScheduled bool
 	nextFlush      Instant // earliest time of the next transaction
 	failures       int     // consecutive transactions that did not take effect
+	batchLimit     int     // claims in one transaction while a rejected one is isolated; 0: no limit
 }
 
 func newClaimState() claimState { return claimState{byKey: make(map[structs.RowKey]*claim)} }
@@ -141,8 +145,8 @@
 	cl.call, cl.op = nil, claimOpRecord
 	cl.row.State = state
 	cl.row.Status, cl.row.ContentType, cl.row.BodyOmitted = r.Status, r.ContentType, r.BodyOmitted
-	if len(r.Body) > maxRecordedBody {
-		cl.row.BodyOmitted = true
+	if len(r.Body) > maxRecordedBody || len(r.ContentType) > maxRecordedContentType {
+		cl.row.ContentType, cl.row.BodyOmitted = "", true
 	} else {
 		cl.row.Body = r.Body
 	}
@@ -175,6 +179,23 @@
 	s.route(cl.call)
 }
 
+// claimRejected handles a write that the store refuses for good: a new claim's call
+// is answered as not run, a result is recorded without its body.
+func (s *State) claimRejected(cl *claim) {
+	cl.sent = false
+	switch {
+	case cl.op == claimOpAcquire && cl.call != nil:
+		s.answerNotRun(cl.call, "the store refuses the order's claim", 0)
+	case cl.op == claimOpRecord && !cl.row.BodyOmitted:
+		cl.row.Body, cl.row.ContentType, cl.row.BodyOmitted = nil, "", true
+		s.submitClaim(cl)
+	default:
+		// The row stays held under this claim's token, so that a repeat is answered as unknown.
+		s.recordDecision(DecisionRecord{Part: "routing", Action: "result not recorded", Subject: string(cl.key), Reason: "the store refuses it"})
+		s.forgetClaim(cl)
+	}
+}
+
 // claimConflicted handles a write that did not take effect because the row has
 // another version than expected.
 func (s *State) claimConflicted(cl *claim, found Conflict) {
--- a/core/control/commit.go
+++ b/core/control/commit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -19,9 +20,13 @@
 	failures     int
 	transactions map[uint64]*transaction // waiting for a retry, by number
 	lastNumber   uint64
+	unreadable   map[structs.RowKey]structs.Version // rows reported as unreadable
 }
 
-func (st *storeState) start(*State) { st.transactions = make(map[uint64]*transaction) }
+func (st *storeState) start(*State) {
+	st.transactions = make(map[uint64]*transaction)
+	st.unreadable = make(map[structs.RowKey]structs.Version)
+}
 
 // reachable reports whether one of the last storeFailureLimit requests to the
 // store was answered.
@@ -66,6 +71,9 @@
 	// earlier attempt may be the cause: the owner looks for its own write in the
 	// conflicting rows.
 	conflicted(s *State, conflicts []Conflict, unknown bool)
+	// rejected reports that the store refuses the content of the transaction for
+	// good. An earlier attempt with an unknown outcome had the same content.
+	rejected(s *State)
 	// shouldRetry reports whether to retry after an attempt that failed or got no
 	// answer. An owner that returns false is not told the outcome.
 	shouldRetry(s *State, unknown bool) bool
@@ -91,6 +99,15 @@
 		t.owner.conflicted(s, r.Conflicts, t.unknown)
 		return
 	}
+	if r.Rejected {
+		s.observeStore(OutcomeDone)
+		s.recordDecision(DecisionRecord{
+			Part: "store", Action: "transaction rejected", Subject: string(t.writes[0].Key),
+			Reason: fmt.Sprintf("%d rows, refused for good", len(t.writes)),
+		})
+		t.owner.rejected(s)
+		return
+	}
 	s.observeStore(r.Outcome)
 	if r.Outcome == OutcomeDone {
 		t.owner.committed(s, r.Revision)
@@ -125,6 +142,15 @@
 	s.sendTransaction(t)
 }
 
+// entryFrameBytes bounds the encoded size of a write and its condition besides the
+// key and the row.
+const entryFrameBytes = 128
+
+// entryBytes returns an upper bound of the encoded size of a write and its condition.
+func entryBytes(w structs.Write) int {
+	return 2*structs.TextBytes(string(w.Key)) + structs.RowBytes(w.Row) + entryFrameBytes
+}
+
 // findConflict returns the conflicting row with the key.
 func findConflict(conflicts []Conflict, key structs.RowKey) (Conflict, bool) {
 	for _, c := range conflicts {
--- a/core/control/event.go
+++ b/core/control/event.go
@@ -53,10 +53,13 @@
 
 // Committed is the outcome of a Commit. Conflicts is set when the table
 // service refused the transaction because of its conditions; Outcome is then
-// OutcomeNotDone for this attempt.
+// OutcomeNotDone for this attempt. Rejected is set when the table service refuses the
+// content of the transaction for good, for example because a row is too large; the same
+// transaction must not be repeated. Outcome is then OutcomeNotDone too.
 type Committed struct {
 	Effect    EffectID
 	Outcome   Outcome
+	Rejected  bool
 	Revision  structs.Version // version of all written rows, when done
 	Conflicts []Conflict
 }
@@ -69,10 +72,12 @@
 	More    bool               // further rows follow the last one
 }
 
-// ObjectWritten is the outcome of a WriteObject.
+// ObjectWritten is the outcome of a WriteObject. Rejected is set when the object store
+// refuses the object for good, for example because it is too large.
 type ObjectWritten struct {
-	Effect  EffectID
-	Outcome Outcome
+	Effect   EffectID
+	Outcome  Outcome
+	Rejected bool
 }
 
 // ObjectRead is the outcome of a ReadObject.
@@ -82,6 +87,12 @@
 	Configuration structs.Configuration
 }
 
+// ObjectDeleted is the outcome of a DeleteObject.
+type ObjectDeleted struct {
+	Effect  EffectID
+	Outcome Outcome
+}
+
 // HostListRead is the outcome of a ReadHostList.
 type HostListRead struct {
 	Effect    EffectID
@@ -208,6 +219,7 @@
 func (RowsRead) isEvent()         {}
 func (ObjectWritten) isEvent()    {}
 func (ObjectRead) isEvent()       {}
+func (ObjectDeleted) isEvent()    {}
 func (HostListRead) isEvent()     {}
 func (WorkerSynced) isEvent()     {}
 func (CommandDone) isEvent()      {}
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -11,7 +11,7 @@
 	heartbeatInterval = 500 * time.Millisecond
 	peerSuspectAfter  = 1500 * time.Millisecond
 	peerTimeout       = 1 * time.Second
-	entryHostLimit    = 512 // entry host rows read at once, and peers kept in memory
+	entryHostLimit    = 512 // peers kept in memory
 )
 
 // peer is the state of another entry host, from its heartbeats and its row.
@@ -28,6 +28,10 @@
 
 	rowVersion structs.Version // of its row in the store
 	rowSince   Instant         // when this version of the row was first read
+
+	// endpoints has the partitions whose targets are being sent to the peer; true:
+	// they have changed since.
+	endpoints map[structs.PartitionID]bool
 }
 
 // membership holds the other entry hosts known to this one.
@@ -48,7 +52,7 @@
 	if i < len(m.peers) && m.peers[i].address == address {
 		return m.peers[i]
 	}
-	p := &peer{address: address, addedAt: s.now}
+	p := &peer{address: address, addedAt: s.now, endpoints: make(map[structs.PartitionID]bool)}
 	if len(m.peers) >= entryHostLimit {
 		return p // not kept: nothing is sent to it
 	}
--- a/core/control/membership_rows.go
+++ b/core/control/membership_rows.go
@@ -13,26 +13,19 @@
 )
 
 // readEntryHosts reads the rows of all entry hosts.
-func (s *State) readEntryHosts() {
-	s.emit(ReadRows{
-		ID: s.effectID(entryHostsRead{}), Prefix: structs.EntryHostPrefix,
-		Limit: entryHostLimit, Timeout: storeTimeout,
-	})
-}
+func (s *State) readEntryHosts() { s.readList(structs.EntryHostPrefix, entryHostsRead{}) }
 
 // entryHostsRead handles the rows of all entry hosts.
 type entryHostsRead struct{}
 
-func (entryHostsRead) complete(s *State, result EventBody) {
-	r := result.(RowsRead)
-	s.observeStore(r.Outcome)
-	if r.Outcome != OutcomeDone {
+func (entryHostsRead) listed(s *State, rows []structs.KeyedRow, outcome Outcome) {
+	if outcome != OutcomeDone {
 		s.setTimer(s.now+entryHostRetry, timerEntryHosts, 0)
 		return
 	}
 	s.setTimer(s.now+entryHostsInterval, timerEntryHosts, 0)
 	own := structs.KeyedRow{Key: structs.EntryHostKey(s.self.Host)}
-	for _, kr := range r.Rows {
+	for _, kr := range rows {
 		row, ok := kr.Row.(structs.EntryHostRow)
 		if !ok {
 			continue
@@ -60,16 +53,17 @@
 	if silent < entryHostExpiry || s.members.eligible(s)[0] != s.self.Host {
 		return
 	}
-	s.commit([]structs.Condition{{Key: kr.Key, Version: kr.Version}}, []structs.Write{{Key: kr.Key}}, entryHostRemoval{})
+	s.commit([]structs.Condition{{Key: kr.Key, Version: kr.Version}}, []structs.Write{{Key: kr.Key}}, rowRemoval{})
 }
 
-// entryHostRemoval is the transaction that deletes the row of a silent host. If
-// it fails, the next read of the rows tries again.
-type entryHostRemoval struct{}
+// rowRemoval is a transaction that deletes a row which a later read finds again if
+// it fails.
+type rowRemoval struct{}
 
-func (entryHostRemoval) committed(*State, structs.Version)   {}
-func (entryHostRemoval) conflicted(*State, []Conflict, bool) {}
-func (entryHostRemoval) shouldRetry(*State, bool) bool       { return false }
+func (rowRemoval) committed(*State, structs.Version)   {}
+func (rowRemoval) conflicted(*State, []Conflict, bool) {}
+func (rowRemoval) rejected(*State)                     {}
+func (rowRemoval) shouldRetry(*State, bool) bool       { return false }
 
 func (s *State) ownEntryHostRow() structs.EntryHostRow {
 	return structs.EntryHostRow{
@@ -93,4 +87,5 @@
 		s.writeOwnEntryHostRow(c.Version)
 	}
 }
+func (ownRowCommit) rejected(*State)               {} // the next read of the rows tries again
 func (ownRowCommit) shouldRetry(*State, bool) bool { return true }
--- a/core/control/partition.go
+++ b/core/control/partition.go
@@ -46,7 +46,9 @@
 	loaded         bool
 	releasing      bool
 	outbox         []change
+	changeLimit    int // changes in one transaction while a rejected one is isolated; 0: no limit
 	inFlight       *partitionCommit
+	suspect        *change // was rejected in a transaction of its own
 	flushScheduled bool
 	nextFlush      Instant
 	lastRenewed    Instant // when the last confirmed commit was sent
@@ -87,24 +89,17 @@
 	s.balance()
 }
 
-func (s *State) readOwnership() {
-	s.emit(ReadRows{
-		ID: s.effectID(ownershipRead{}), Prefix: structs.PartitionPrefix,
-		Limit: len(s.partitions), Timeout: storeTimeout,
-	})
-}
+func (s *State) readOwnership() { s.readList(structs.PartitionPrefix, ownershipRead{}) }
 
 // ownershipRead handles the rows of all partitions.
 type ownershipRead struct{}
 
-func (ownershipRead) complete(s *State, result EventBody) {
-	r := result.(RowsRead)
-	s.observeStore(r.Outcome)
-	if r.Outcome != OutcomeDone {
+func (ownershipRead) listed(s *State, read []structs.KeyedRow, outcome Outcome) {
+	if outcome != OutcomeDone {
 		return
 	}
-	rows := make(map[structs.RowKey]structs.KeyedRow, len(r.Rows))
-	for _, row := range r.Rows {
+	rows := make(map[structs.RowKey]structs.KeyedRow, len(read))
+	for _, row := range read {
 		rows[row.Key] = row
 	}
 	for _, p := range s.partitions {
@@ -116,8 +111,8 @@
 // been silent for long enough.
 func (s *State) handlePartitionRow(p *partition, read structs.KeyedRow) {
 	row, _ := read.Row.(structs.PartitionRow)
-	if p.owned != nil || p.acquiring {
-		return
+	if p.owned != nil || p.acquiring || read.Unreadable() {
+		return // without its epoch, a partition can't be taken over
 	}
 	if !p.rowRead || read.Version > p.version {
 		// A new version is a sign of life only if the row was also read after the
@@ -202,6 +197,9 @@
 	s.handlePartitionRow(a.p, c)
 }
 
+// rejected leaves the partition to the next check of its ownership.
+func (a *acquisition) rejected(*State) { a.p.acquiring = false }
+
 func (a *acquisition) shouldRetry(*State, bool) bool { return true }
 
 func (p *partition) name() string { return fmt.Sprintf("partition %d", p.id) }
--- a/core/control/partition_commit.go
+++ b/core/control/partition_commit.go
@@ -12,8 +12,10 @@
 	// taskWritesPerSecond bounds the transactions of all partitions together. The
 	// store accepts several hundred writes a second, including those for claims.
 	taskWritesPerSecond = 200
-	maxRowsPerCommit    = 256  // rows in one transaction
-	outboxLimit         = 4096 // queued changes from which periodic work waits
+	// Each row of a transaction has a condition and a write; one row is that of the
+	// partition.
+	maxRowsPerCommit = structs.MaxTransactionEntries / 2
+	outboxLimit      = 4096 // queued changes from which periodic work waits
 )
 
 // change is a group of rows to write in one transaction, with the handler that
@@ -58,17 +60,40 @@
 	if o.inFlight != nil || len(o.outbox) == 0 {
 		return
 	}
-	n, rows := 0, 0
-	for n < len(o.outbox) && (n == 0 || rows+len(o.outbox[n].writes) <= maxRowsPerCommit) {
-		rows += len(o.outbox[n].writes)
-		n++
+	if o.changeLimit > 0 && s.now-o.lastRenewed >= partitionRenewInterval {
+		// The ownership does not depend on changes that may be rejected.
+		s.commitPartition(o, nil, s.nextOwnerRow(o))
+		return
 	}
-	s.commitPartition(o, o.outbox[:n:n], structs.PartitionRow{
-		Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1,
-	})
+	n := o.nextBatch()
+	s.commitPartition(o, o.outbox[:n:n], s.nextOwnerRow(o))
 	o.outbox = append([]change(nil), o.outbox[n:]...)
 }
 
+// nextOwnerRow returns the ownership row that the next transaction writes.
+func (s *State) nextOwnerRow(o *ownedPartition) structs.PartitionRow {
+	return structs.PartitionRow{Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1}
+}
+
+// nextBatch returns how many of the queued changes the next transaction holds beside
+// the partition's row: as many as the store's limits allow, and at least one.
+func (o *ownedPartition) nextBatch() int {
+	ownerKey := structs.PartitionKey(o.partition.id)
+	sizes := map[structs.RowKey]int{ownerKey: entryBytes(structs.Write{Key: ownerKey, Row: structs.PartitionRow{}})}
+	total := sizes[ownerKey]
+	for n, c := range o.outbox {
+		for _, w := range c.writes {
+			size := entryBytes(w)
+			total += size - sizes[w.Key]
+			sizes[w.Key] = size
+		}
+		if n > 0 && (n == o.changeLimit || len(sizes) > maxRowsPerCommit || total > structs.MaxTransactionBytes) {
+			return n
+		}
+	}
+	return len(o.outbox)
+}
+
 // flushSpacing returns the least time between two transactions of one
 // partition.
 func (s *State) flushSpacing() time.Duration {
@@ -86,9 +111,7 @@
 		s.flushPartition(p)
 		return
 	}
-	s.commitPartition(o, nil, structs.PartitionRow{
-		Owner: s.self.Host, Instance: s.self.Instance, Epoch: o.epoch, Sequence: o.sequence + 1,
-	})
+	s.commitPartition(o, nil, s.nextOwnerRow(o))
 }
 
 // partitionCommit is the transaction in flight for an owned partition.
@@ -150,6 +173,11 @@
 		s.partitionReleased(o)
 		return
 	}
+	o.widenBatches(len(c.changes))
+	if o.suspect != nil {
+		s.setAside(o, *o.suspect)
+		o.suspect = nil
+	}
 	for _, ch := range c.changes {
 		if ch.onCommit != nil {
 			ch.onCommit.changeCommitted(s, o)
@@ -182,4 +210,59 @@
 	}
 }
 
+// rejected isolates the change that the store refuses, by halves, so that the
+// others are stored. A change that is refused alone is set aside. If an earlier attempt
+// took effect all the same, the next transaction finds that in a conflict.
+func (c *partitionCommit) rejected(s *State) {
+	o := c.o
+	if o.partition.owned != o {
+		return
+	}
+	o.inFlight = nil
+	o.nextFlush = s.now + s.flushSpacing()
+	switch len(c.changes) {
+	case 0:
+		s.dropPartition(o, "the store refuses its row")
+	case 1:
+		// It is set aside once the store accepts a transaction without it.
+		o.suspect = &c.changes[0]
+		s.commitPartition(o, nil, s.nextOwnerRow(o))
+	default:
+		o.outbox = append(c.changes, o.outbox...)
+		o.changeLimit = len(c.changes) / 2
+		s.scheduleFlush(o)
+	}
+}
+
+// setAside gives up a change that the store refuses. Its task stays marked as being
+// written, so that this owner changes nothing of it any more; the next owner reads its
+// rows anew. An assignment that is not stored leaves no commitment.
+func (s *State) setAside(o *ownedPartition, c change) {
+	key := c.writes[0].Key
+	d := DecisionRecord{Part: "store", Action: "row set aside", Subject: string(key), Reason: "the store refuses it; its task stays as it is"}
+	if row, ok := c.writes[0].Row.(structs.TaskRow); ok {
+		d.Subject, d.Request = string(row.Task), string(row.Task)
+	}
+	s.recordDecision(d)
+	saved, ok := c.onCommit.(taskSaved)
+	if !ok || saved.t.row.Phase != structs.TaskAssigned || saved.t.run.startSent {
+		return
+	}
+	if w := o.tasks.workers[saved.t.row.Worker]; w != nil {
+		s.releaseRun(o, saved.t, w)
+		s.submit(o, change{writes: []structs.Write{{Key: structs.WorkerKey(o.partition.id, w.id), Row: w.row}}})
+		s.capacityChanged(o)
+	}
+}
+
+// widenBatches doubles the limit of a transaction's changes after one that took effect.
+func (o *ownedPartition) widenBatches(changes int) {
+	if changes == 0 || o.changeLimit == 0 {
+		return
+	}
+	if o.changeLimit *= 2; o.changeLimit >= maxRowsPerCommit {
+		o.changeLimit = 0
+	}
+}
+
 func (c *partitionCommit) shouldRetry(s *State, _ bool) bool { return c.o.partition.owned == c.o }
--- a/core/control/reduce.go
+++ b/core/control/reduce.go
@@ -23,13 +23,17 @@
 	case TimerFired:
 		// No state to change: Reduce fires due timers after every event.
 	case Committed:
+		s.reportUnreadable(b.Conflicts)
 		s.completeEffect(b.Effect, b)
 	case RowsRead:
+		s.reportUnreadable(b.Rows)
 		s.completeEffect(b.Effect, b)
 	case ObjectWritten:
 		s.completeEffect(b.Effect, b)
 	case ObjectRead:
 		s.completeEffect(b.Effect, b)
+	case ObjectDeleted:
+		s.completeEffect(b.Effect, b)
 	case HostListRead:
 		s.completeEffect(b.Effect, b)
 	case WorkerSynced:
--- a/core/control/tasks_inbox.go
+++ b/core/control/tasks_inbox.go
@@ -56,18 +56,26 @@
 	return list
 }
 
-// readInbox reads the tasks that other partitions transferred to this one. One
-// read is in flight at a time.
+// readInbox reads the tasks that other partitions transferred to this one, page by
+// page: rows that cannot be taken must not hide those behind them. One read is in flight
+// at a time.
 func (s *State) readInbox(o *ownedPartition) {
 	if o.tasks.inbox.reading {
 		o.tasks.inbox.rereadRequested = true
 		return
 	}
 	o.tasks.inbox.reading, o.tasks.inbox.rereadRequested = true, false
-	s.emit(ReadRows{ID: s.effectID(inboxRead{o}), Prefix: structs.InboxKeyPrefix(o.partition.id), Limit: maxRowsPerRead, Timeout: storeTimeout})
+	s.readInboxPage(o, "")
 }
 
-// inboxRead handles the rows of the inbox.
+func (s *State) readInboxPage(o *ownedPartition, after structs.RowKey) {
+	s.emit(ReadRows{
+		ID: s.effectID(inboxRead{o}), Prefix: structs.InboxKeyPrefix(o.partition.id), After: after,
+		Limit: maxRowsPerRead, Timeout: storeTimeout,
+	})
+}
+
+// inboxRead handles one page of the inbox.
 type inboxRead struct{ o *ownedPartition }
 
 func (c inboxRead) complete(s *State, result EventBody) {
@@ -85,6 +93,11 @@
 			}
 		}
 	}
+	if r.Outcome == OutcomeDone && r.More && len(r.Rows) > 0 && o.outboxHasCapacity() {
+		o.tasks.inbox.reading = true
+		s.readInboxPage(o, r.Rows[len(r.Rows)-1].Key)
+		return
+	}
 	if o.tasks.inbox.rereadRequested {
 		s.readInbox(o)
 	}
@@ -95,6 +108,9 @@
 // detects that.
 func (s *State) acceptTransfer(o *ownedPartition, read structs.KeyedRow, row structs.TaskRow) {
 	t := o.tasks.byID[row.Task]
+	if o.tasks.unreadable[slotPrefix(row.Task)] {
+		return // its key may be that of the unreadable row
+	}
 	if t != nil && (t.row.Phase != structs.TaskMoved || t.writing || t.inboxVersion >= read.Version) {
 		return
 	}
@@ -174,6 +190,9 @@
 // not count: two markers must not keep each other alive.
 func (c markerCheck) destinationHasTask(rows []structs.KeyedRow) bool {
 	for _, kr := range rows {
+		if kr.Unreadable() {
+			return true // it may be the task
+		}
 		row, ok := kr.Row.(structs.TaskRow)
 		if !ok || row.Row != c.t.row.Row || row.Index != c.t.row.Index {
 			continue
--- a/core/control/tasks_settle.go
+++ b/core/control/tasks_settle.go
@@ -7,6 +7,10 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
+// maxFailedOn bounds the workers in a task's row on which it failed. The newest count:
+// a task fails for good after three workers that run others well.
+const maxFailedOn = 32
+
 // runEnded handles a run that has certainly ended. The proof is a status that
 // says how it ended, a confirmed stop, a restart of its worker, or an expired
 // lease. The commitment is removed in the same transaction as the change of the
@@ -19,6 +23,10 @@
 		// Not the requested checkpoint: the run counts as stopped.
 		st.State, st.Detail = structs.RunStopped, "its checkpoint has another name"
 	}
+	if t.row.Phase == structs.TaskEvicting {
+		// Its worker may have written it, whether or not the row will name it.
+		t.unusedCheckpoints = append(t.unusedCheckpoints, checkpointObject(t.ref()))
+	}
 	duration := s.now - t.run.runningSince
 	wasTarget := t.answersCalls()
 	s.releaseRun(o, t, w)
@@ -71,6 +79,7 @@
 // recordCheckpoint sets the checkpoint of the ended run in the task's row.
 func (s *State) recordCheckpoint(t *task, st structs.RunStatus) {
 	if st.State == structs.RunCheckpointed {
+		t.dropCheckpoint()
 		t.row.Checkpoint = st.Checkpoint
 		t.resumeProgress = t.run.progress
 	}
@@ -99,6 +108,7 @@
 	if t.row.Checkpoint == "" && t.run.runningSince > 0 && t.run.startsSent > 0 {
 		r.runTime.Learn(duration)
 	}
+	t.dropCheckpoint()
 	s.recordWorkerSuccess(o, w)
 	s.recordDecision(DecisionRecord{
 		Part: "placement", Action: "finished", Subject: string(t.row.Task), Where: string(w.id), Request: string(t.row.Task),
@@ -124,11 +134,12 @@
 func (s *State) handleFailedRun(o *ownedPartition, t *task, w *workerState, st structs.RunStatus) {
 	t.failures++
 	if !failedOn(t, w.id) {
-		t.row.FailedOn = append(t.row.FailedOn[:len(t.row.FailedOn):len(t.row.FailedOn)], w.id)
+		kept := t.row.FailedOn[max(0, len(t.row.FailedOn)+1-maxFailedOn):]
+		t.row.FailedOn = append(kept[:len(kept):len(kept)], w.id)
 	}
 	s.recordWorkerFailure(o, w, t.row.Row)
 	if n := s.failuresOnGoodWorkers(o, t); n >= policy.JobFailureLimit {
-		t.row.Reason = fmt.Sprintf("failed on %d workers that run others well: %s", n, st.Detail)
+		t.row.Reason = shortened(fmt.Sprintf("failed on %d workers that run others well: %s", n, st.Detail), maxReasonBytes)
 		s.recordDecision(DecisionRecord{
 			Part: "placement", Action: "given up", Subject: string(t.row.Task), Where: string(w.id),
 			Reason: t.row.Reason, Request: string(t.row.Task),
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -27,6 +27,7 @@
 	countByRow       map[string]int // number of tasks by sheet row
 	workers          map[structs.WorkerID]*workerState
 	workerList       []*workerState               // by id
+	unreadable       map[structs.TaskID]bool      // slots with an unreadable row, by slotPrefix
 	teamUsage        map[string]structs.Resources // resources committed in this partition, by team
 	quotas           map[string]teamQuota
 	workerCapacities []structs.Resources // distinct capacities of all listed workers
@@ -43,6 +44,7 @@
 	configHead       configHeadState
 	adopted          bool // the committed runs in the loaded rows were adopted
 	workScheduled    bool // a step of work is scheduled
+	targetsLeftOut   bool // the published targets are not all
 	targetsDirty     bool // the published targets are out of date
 	publishScheduled bool // a step is scheduled at nextPublish
 	nextPublish      Instant
@@ -56,6 +58,7 @@
 	evictions        policy.EvictionBudget
 	interference     *policy.Interference
 	policyScheduled  bool
+	policyCursor     int // worker in workerList with which the current policy step continues
 }
 
 // slotKey identifies one task index of a sheet row. A service may have several
@@ -88,6 +91,9 @@
 	chargedTeam         string // team whose usage includes the commitment
 	unplaceableReported bool   // the decision that no worker is large enough was recorded
 
+	// unusedCheckpoints are objects that the row no longer names once it is durable.
+	unusedCheckpoints []string
+
 	resumeProgress float64         // progress at the checkpoint that the next run resumes from; shows how much the resumption loses
 	failures       int             // since the last success; determines the delay before a retry
 	replacedAt     Instant         // when a replacement was created
@@ -95,15 +101,20 @@
 }
 
 // loadRow adds one row that was read from the store after a takeover.
-func (s *State) loadRow(o *ownedPartition, row structs.Row) {
+func (s *State) loadRow(o *ownedPartition, kr structs.KeyedRow) {
 	o.tasks.init()
-	switch r := row.(type) {
+	switch r := kr.Row.(type) {
+	case structs.UnreadableRow:
+		s.loadUnreadable(o, kr.Key)
 	case structs.TaskRow:
 		o.tasks.insert(&task{row: r})
 	case structs.WorkerRow:
 		w := o.tasks.addWorker(r.Worker)
 		w.row = r
 		w.committed = r.Committed()
+		for i := range r.Commitments {
+			w.rowBytes += r.Commitments[i].Bytes()
+		}
 	}
 }
 
@@ -118,6 +129,7 @@
 	t.countByRow = make(map[string]int)
 	t.workers = make(map[structs.WorkerID]*workerState)
 	t.teamUsage = make(map[string]structs.Resources)
+	t.unreadable = make(map[structs.TaskID]bool)
 	t.interference = policy.NewInterference()
 }
 
@@ -219,6 +231,7 @@
 // adoptTasks adopts the committed runs in the loaded rows. Nothing is done with a
 // run until its worker has reported its state.
 func (s *State) adoptTasks(o *ownedPartition) {
+	o.tasks.restoreRows()
 	for _, w := range o.tasks.workerList {
 		for _, c := range w.row.Commitments {
 			name := ""
@@ -247,6 +260,7 @@
 
 // configChanged compares every owned partition with the new configuration.
 func (s *State) configChanged() {
+	s.forgetUnusedServices()
 	for _, p := range s.partitions {
 		if p.owned != nil && p.owned.loaded {
 			s.scheduleReconcile(p.owned)
--- a/core/control/tasks_worker.go
+++ b/core/control/tasks_worker.go
@@ -24,13 +24,15 @@
 // workerState is a worker of the partition with its commitments, including those
 // that are not yet durable.
 type workerState struct {
-	id        structs.WorkerID
-	spec      structs.Worker // according to the last host list
-	listed    bool           // in this partition
-	movedAway bool           // listed in a rack of another partition; treated like a leaving worker
-	row       structs.WorkerRow
-	committed structs.Resources
-	rowNames  []string // sheet row of each commitment, in the same order; empty until adopted
+	id         structs.WorkerID
+	spec       structs.Worker // according to the last host list
+	listed     bool           // in this partition
+	movedAway  bool           // listed in a rack of another partition; treated like a leaving worker
+	row        structs.WorkerRow
+	committed  structs.Resources
+	restoreRow bool     // its row could not be read; the commitments are those of its tasks
+	rowBytes   int      // upper bound of the encoded size of row's commitments
+	rowNames   []string // sheet row of each commitment, in the same order; empty until adopted
 
 	boot           string        // empty until the first answer to this owner
 	clock          time.Duration // worker clock reading in the last answer
@@ -88,6 +90,13 @@
 	w.row.Commitments = append(old[:len(old):len(old)], c)
 	w.rowNames = append(w.rowNames, name)
 	w.committed = w.committed.Add(c.Request)
+	w.rowBytes += c.Bytes()
+}
+
+// rowHolds reports whether the worker's row stays within the store's limit with one
+// more commitment: a worker may have room for thousands of small tasks.
+func (w *workerState) rowHolds(c structs.Commitment) bool {
+	return structs.WorkerRowFrame+w.rowBytes+c.Bytes() <= structs.MaxRowBytes
 }
 
 // release removes the commitment of a run and returns its resources.
@@ -100,6 +109,7 @@
 		w.row.Commitments = append(append(rest, w.row.Commitments[:i]...), w.row.Commitments[i+1:]...)
 		w.rowNames = append(w.rowNames[:i], w.rowNames[i+1:]...)
 		w.committed = w.committed.Sub(c.Request)
+		w.rowBytes -= c.Bytes()
 		return c.Request, true
 	}
 	return structs.Resources{}, false
--- a/core/record/names.go
+++ b/core/record/names.go
@@ -37,6 +37,8 @@
 	"ClaimRow":     decodeAs[structs.Row, structs.ClaimRow],
 	"ConfigHead":   decodeAs[structs.Row, structs.ConfigHead],
 	"EntryHostRow": decodeAs[structs.Row, structs.EntryHostRow],
+
+	"UnreadableRow": decodeAs[structs.Row, structs.UnreadableRow],
 }
 
 var messageTypes = decoders[control.Message]{
@@ -57,6 +59,7 @@
 	"RowsRead":         decodeRowsRead,
 	"ObjectWritten":    decodeAs[control.EventBody, control.ObjectWritten],
 	"ObjectRead":       decodeAs[control.EventBody, control.ObjectRead],
+	"ObjectDeleted":    decodeAs[control.EventBody, control.ObjectDeleted],
 	"HostListRead":     decodeAs[control.EventBody, control.HostListRead],
 	"WorkerSynced":     decodeAs[control.EventBody, control.WorkerSynced],
 	"CommandDone":      decodeAs[control.EventBody, control.CommandDone],
