--- a/entry/cmd/tamarackstep/main.go
+++ b/entry/cmd/tamarackstep/main.go
@@ -47,9 +47,11 @@
 	settingsFile := runCommand.Flag("settings", "Settings file (TOML).").Required().PlaceHolder("FILE").String()
 	recordFile := runCommand.Flag("record", "Write all events of the control loop to a file, for tests.").
 		PlaceHolder("FILE").String()
+	runLogFormat := logFormatFlag(runCommand)
 	platformCommand := app.Command("platform", "Run a host on the users' platform until a signal ends it.")
 	logLevel := platformCommand.Flag("log-level", "Lowest level of log lines: debug, info, warn or error.").Default("info").
 		Enum("debug", "info", "warn", "error")
+	platformLogFormat := logFormatFlag(platformCommand)
 	shardWorkers := platformCommand.Flag("shard-workers", "Number of workers for which a further shard is added; 0: one shard for all workers.").
 		Default(strconv.Itoa(defaultShardWorkers)).Uint16()
 	checkCommand := app.Command("check-settings", "Check a settings file and report all its faults.")
@@ -72,9 +74,9 @@
 	}
 	switch command {
 	case runCommand.FullCommand():
-		return runHost(*settingsFile, *recordFile, stderr)
+		return runHost(*settingsFile, *recordFile, *runLogFormat, stderr)
 	case platformCommand.FullCommand():
-		return runOnPlatform(*logLevel, int(*shardWorkers), stdout, stderr)
+		return runOnPlatform(*logLevel, *platformLogFormat, int(*shardWorkers), stdout, stderr)
 	case checkCommand.FullCommand():
 		return checkSettings(*checkedFile, *isPlatformFile, stdout, stderr)
 	case replayCommand.FullCommand():
@@ -83,6 +85,11 @@
 	return exitUsage
 }
 
+// logFormatFlag adds the flag for the form of log lines to a command.
+func logFormatFlag(command *kingpin.CmdClause) *string {
+	return command.Flag("log-format", "Form of log lines: text or json.").Default(logging.FormatText).Enum(logging.Formats...)
+}
+
 // helpShown is the panic value that ends parsing after the help was printed:
 // kingpin requires that its Terminate function does not return.
 type helpShown struct{ status int }
@@ -116,7 +123,7 @@
 	return exitOK
 }
 
-func runHost(settingsFile, recordFile string, stderr io.Writer) int {
+func runHost(settingsFile, recordFile, logFormat string, stderr io.Writer) int {
 	s, err := settings.Load(settingsFile)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -129,7 +136,7 @@
 		return exitFailed
 	}
 	queue := logging.NewQueue(s.LogQueue)
-	log := queue.Logger(stderr, s.LogLevel)
+	log := queue.Logger(stderr, s.LogLevel, logFormat)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	err = host.New(s, log, queue, observe).Run(signals)
--- a/entry/cmd/tamarackstep/platform.go
+++ b/entry/cmd/tamarackstep/platform.go
@@ -30,7 +30,7 @@
 )
 
 // runOnPlatform runs a host on the platform whose settings the environment names.
-func runOnPlatform(levelName string, shardWorkers int, stdout, stderr io.Writer) int {
+func runOnPlatform(levelName, logFormat string, shardWorkers int, stdout, stderr io.Writer) int {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		fmt.Fprintf(stderr, "tamarackstep: %v\n", err)
@@ -51,7 +51,7 @@
 		debug.SetMemoryLimit(s.MemoryMB << 20 * memoryLimitPercent / 100)
 	}
 	queue := logging.NewQueue(platformLogQueue)
-	log := queue.Logger(stdout, level)
+	log := queue.Logger(stdout, level, logFormat)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log.Info("host: starting", "host", s.Host, "callers", s.Callers, "store", s.Store)
--- a/entry/internal/host/host_test.go
+++ b/entry/internal/host/host_test.go
@@ -44,7 +44,7 @@
 	s.CallerListener, s.OperatorListener, s.PeerListener = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.PeerSeeds, s.PlatformAddress, s.Partitions, s.Limits.LeaveDelay = seeds, platform, 2, leave
 	queue := logging.NewQueue(1024)
-	h := New(s, queue.Logger(io.Discard, s.LogLevel), queue, observe)
+	h := New(s, queue.Logger(io.Discard, s.LogLevel, logging.FormatText), queue, observe)
 	l, err := h.listen()
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/logging/queue.go
+++ b/entry/internal/logging/queue.go
@@ -42,10 +42,28 @@
 	return &Queue{lines: make(chan *queuedLine, size), done: make(chan struct{})}
 }
 
-// Logger returns a logger that writes text lines to w through the queue.
-func (q *Queue) Logger(w io.Writer, level slog.Leveler) *slog.Logger {
+// Formats are the names of the forms in which lines are written: key=value pairs, or a
+// JSON object a line.
+var Formats = []string{FormatText, FormatJSON}
+
+// Names of the forms of lines.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+func newHandler(w io.Writer, level slog.Leveler, format string) slog.Handler {
+	options := &slog.HandlerOptions{Level: level}
+	if format == FormatJSON {
+		return slog.NewJSONHandler(w, options)
+	}
+	return slog.NewTextHandler(w, options)
+}
+
+// Logger returns a logger that writes lines of one of Formats to w through the queue.
+func (q *Queue) Logger(w io.Writer, level slog.Leveler, format string) *slog.Logger {
 	buffer := bufio.NewWriterSize(w, bufferBytes)
-	inner := slog.NewTextHandler(buffer, &slog.HandlerOptions{Level: level})
+	inner := newHandler(buffer, level, format)
 	go q.write(slog.New(inner), buffer)
 	return slog.New(handler{queue: q, inner: inner})
 }
--- a/entry/internal/logging/queue_test.go
+++ b/entry/internal/logging/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"log/slog"
 	"regexp"
 	"testing"
@@ -20,7 +21,7 @@
 func TestDecisionLines(t *testing.T) {
 	var out bytes.Buffer
 	q := NewQueue(16)
-	log := q.Logger(&out, slog.LevelInfo)
+	log := q.Logger(&out, slog.LevelInfo, FormatText)
 	for _, d := range []control.DecisionRecord{
 		{Part: "routing", Action: "dispatched", Subject: "q-1", Where: "w07", Reason: "least loaded", Request: "q-1"},
 		{Part: "placement", Action: "placed", Subject: "night.3", Where: "w02", Reason: "fits, \"coolest\" rack", Request: "night.3"},
@@ -33,6 +34,26 @@
 	goldie.New(t).Assert(t, "decisions", timestamp.ReplaceAll(out.Bytes(), nil))
 }
 
+// Guards against lines that tools cannot decode: values keep their types and texts their
+// quotes.
+func TestJSONLines(t *testing.T) {
+	var out bytes.Buffer
+	q := NewQueue(16)
+	q.Logger(&out, slog.LevelInfo, FormatJSON).Info("task: start ordered", "subject", `a "quoted" text`, "age_ms", 12)
+	q.Close(testTimeout)
+	var line struct {
+		Message string `json:"msg"`
+		Subject string `json:"subject"`
+		AgeMS   int    `json:"age_ms"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if line.Message != "task: start ordered" || line.Subject != `a "quoted" text` || line.AgeMS != 12 {
+		t.Errorf("decoded %+v", line)
+	}
+}
+
 // blockedWriter blocks writes until release is closed.
 type blockedWriter struct {
 	bytes.Buffer
@@ -54,7 +75,7 @@
 func TestFullQueueDropsAndCounts(t *testing.T) {
 	out := &blockedWriter{writing: make(chan struct{}, 1), release: make(chan struct{})}
 	q := NewQueue(2)
-	log := q.Logger(out, slog.LevelInfo)
+	log := q.Logger(out, slog.LevelInfo, FormatText)
 	log.Info("first")
 	<-out.writing
 	for range 5 {
