scheduler: the next incarnation of a worker refuses starts that were meant for the former one

A leader now remembers starts without an answer for 15 s and sends their stops again when a restart shows: a worker refuses a run that was stopped before it began. Nothing changes while no worker restarts under its ID.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -122,6 +122,7 @@
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.throttle = throttleState{speedLimit: fullSpeed}
 	w.failStreak, w.failedJobs = 0, nil
+	w.refuseLateStarts()
 	w.syncSoon()
 }
 
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -147,6 +147,7 @@
 		l.markStarted(r.job)
 		w.syncSoon()
 	case o.Outcome == structs.OutcomeUnknown:
+		w.rememberLateStart(r)
 		if r.phase == phaseStarting {
 			r.phase = phaseUnknown
 		}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -41,6 +41,8 @@
 	syncSeq      uint64
 	failedSyncs  int // consecutive syncs without an answer
 
+	lateStarts []lateStart
+
 	runs           map[runKey]*run
 	reserved       structs.Resources // by its runs
 	usedMilliCores int64             // CPU that its runs are assumed to use
