soak: a proxy that refuses connections keeps its port

Cause: a proxy closed its listener while its worker was down and listened again at the same address. A proxy of another test process could take the port meanwhile, since all of them used 127.0.2.1. Seen once, in a run beside four others: 'address already in use'.

--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -22,11 +23,65 @@
 const (
 	linkDelay        = 300 * time.Millisecond
 	proxyBufferBytes = 32 << 10
-	// proxyIP is an address that outgoing connections do not use, so that the port of a
-	// proxy that refuses connections stays free.
-	proxyIP = "127.0.2.1"
 )
 
+// proxyPorts opens the listeners of all proxies of this process, and keeps the ports of those
+// that refuse connections from the others. Their IP address is not that of other processes,
+// nor do outgoing connections use it.
+var proxyPorts = portPool{ip: processIP(os.Getpid()), reserved: make(map[string]bool)}
+
+// processIP returns the loopback address of a process, from 127.64.0.0/10.
+func processIP(pid int) string {
+	return net.IPv4(127, byte(64|pid>>16&63), byte(pid>>8), byte(pid)).String()
+}
+
+// portPool opens listeners on one IP address.
+type portPool struct {
+	ip string
+
+	mu       sync.Mutex
+	reserved map[string]bool // addresses of proxies that refuse connections
+}
+
+// listen opens a listener on a port that is free and not reserved.
+func (p *portPool) listen() (net.Listener, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(p.ip, "0"))
+		if err != nil || !p.reserved[l.Addr().String()] {
+			return l, err
+		}
+		_ = l.Close()
+	}
+}
+
+// reserve closes a listener and keeps its address.
+func (p *portPool) reserve(l net.Listener) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved[l.Addr().String()] = true
+	_ = l.Close()
+}
+
+// release gives up a reserved address.
+func (p *portPool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.reserved, address)
+}
+
+// listenAgain opens a listener on a reserved address.
+func (p *portPool) listenAgain(address string) (net.Listener, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp", address)
+	if err == nil {
+		delete(p.reserved, address)
+	}
+	return l, err
+}
+
 // Proxy forwards connections to one address and injects link faults.
 type Proxy struct {
 	address string // that it listens on
@@ -43,7 +98,7 @@
 
 // NewProxy starts a proxy for the target on a free loopback port.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(proxyIP, "0"))
+	l, err := proxyPorts.listen()
 	if err != nil {
 		return nil, err
 	}
@@ -57,18 +112,22 @@
 
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
-	p.Refuse()
-	p.SetFault(LinkReset)
 	p.mu.Lock()
 	p.closed = true
+	_ = p.listener.Close()
+	proxyPorts.release(p.address)
 	p.mu.Unlock()
+	p.SetFault(LinkReset)
 }
 
 // Refuse resets the open connections and has new ones refused.
 func (p *Proxy) Refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close()
+	if p.closed {
+		return
+	}
+	proxyPorts.reserve(p.listener)
 	p.refusing = true
 	p.resetAll()
 }
@@ -80,7 +139,7 @@
 	if !p.refusing || p.closed {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.address)
+	l, err := proxyPorts.listenAgain(p.address)
 	if err != nil {
 		return err
 	}
--- a/standin/soak/restart.go
+++ b/standin/soak/restart.go
@@ -313,6 +313,6 @@
 // admit lets the proxy of the worker accept connections again.
 func (w *worker) admit() {
 	if err := w.proxy.Admit(); err != nil {
-		panic(err) // outgoing connections do not use the address of proxies
+		panic(err) // its port is reserved
 	}
 }
