--- a/core/scheduler/restart_release_test.go
+++ b/core/scheduler/restart_release_test.go
@@ -51,3 +51,30 @@
 	f.restartAccepting()
 	sim.advance(5 * time.Second)
 }
+
+// TestLateAckAfterRestart guards against an acknowledgement without an answer that the next
+// incarnation carries out seconds later: it discards the end of a run that was started there
+// meanwhile, so that the task runs again although it is done.
+func TestLateAckAfterRestart(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	w := sim.leader().state.leaderOf(0).workers["w00"]
+	f := sim.workers["w00"]
+	var fate callFate
+	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return fate }}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, 50*time.Millisecond, 1000))
+	sim.waitFor(time.Second, "the end", func() bool { return len(f.endedRuns) > 0 })
+	fate.late = 2500 * time.Millisecond
+	sim.waitFor(time.Second, "an acknowledgement on its way", func() bool { return w.acks.inFlight })
+	fate.late = 0
+	f.restartAccepting()
+	sim.waitFor(3*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.listsRead })
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 500*time.Millisecond, 1000))
+	f.onStart = func(StartTask) startOutcome { fate.requestDelay = time.Second; return startAnswered } // later calls arrive after the acknowledgement
+	sim.advance(2 * time.Second)
+	fate.requestDelay = 0
+	sim.waitFor(8*time.Second, "completion", func() bool { return sim.jobState(jobB).Final() })
+	if f.starts != 2 {
+		t.Errorf("%d starts of 2 tasks, want 2", f.starts)
+	}
+}
