scheduler: an answer of another worker does not end a worker with a start on its way

Two runs of one task: the address of a worker changed hands twice, another worker answered there (421) in between, and a start in a slow dial then met the next incarnation of the worker. Such an answer now counts as no answer while a start is on its way.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -149,9 +149,10 @@
 
 // handleMisdirected handles the answer of another worker at an address: what ran there has
 // ended. The worker may have started again at another address, and may run there what was
-// sent to that one. It reports whether the worker is gone.
+// sent to that one; a start on its way may meet it at this one later. It reports whether the
+// worker is gone.
 func (w *worker) handleMisdirected(address string) bool {
-	elsewhere := func(r *run) bool { return r.address != address }
+	elsewhere := func(r *run) bool { return r.address != address || r.phase == phaseStarting }
 	if address != w.entry.Address || slices.ContainsFunc(w.sortedRuns(), elsewhere) {
 		return false
 	}
