control: what the store refused is tried again each minute, and leaves no task stuck

A change that was set aside stayed so until the next owner. It is now tried again each minute with the newest contents of its rows. An end whose commitment is gone is taken for an end at takeover, a replica stays until its replacement is stored, a refused creation is forgotten and tried later, and the older task of a slot retires. TestRefusedRowsAroundTheEndOfARun, TestRefusedRowCostsItsTaskOnly, TestTaskInvariants.

--- a/core/control/partition.go
+++ b/core/control/partition.go
@@ -48,7 +48,8 @@
 	outbox         []change
 	changeLimit    int // changes in one transaction while a rejected one is isolated; 0: no limit
 	inFlight       *partitionCommit
-	suspect        *change // was rejected in a transaction of its own
+	suspect        *change          // was rejected in a transaction of its own
+	setAside       []setAsideChange // rejected changes, next to retry first
 	flushScheduled bool
 	nextFlush      Instant
 	lastRenewed    Instant // when the last confirmed commit was sent
--- a/core/control/partition_commit.go
+++ b/core/control/partition_commit.go
@@ -175,7 +175,7 @@
 	}
 	o.widenBatches(len(c.changes))
 	if o.suspect != nil {
-		s.setAside(o, *o.suspect)
+		s.setAsideChange(o, *o.suspect)
 		o.suspect = nil
 	}
 	for _, ch := range c.changes {
@@ -234,27 +234,6 @@
 	}
 }
 
-// setAside gives up a change that the store refuses. Its task stays marked as being
-// written, so that this owner changes nothing of it any more; the next owner reads its
-// rows anew. An assignment that is not stored leaves no commitment.
-func (s *State) setAside(o *ownedPartition, c change) {
-	key := c.writes[0].Key
-	d := DecisionRecord{Part: "store", Action: "row set aside", Subject: string(key), Reason: "the store refuses it; its task stays as it is"}
-	if row, ok := c.writes[0].Row.(structs.TaskRow); ok {
-		d.Subject, d.Request = string(row.Task), string(row.Task)
-	}
-	s.recordDecision(d)
-	saved, ok := c.onCommit.(taskSaved)
-	if !ok || saved.t.row.Phase != structs.TaskAssigned || saved.t.run.startSent {
-		return
-	}
-	if w := o.tasks.workers[saved.t.row.Worker]; w != nil {
-		s.releaseRun(o, saved.t, w)
-		s.submit(o, change{writes: []structs.Write{{Key: structs.WorkerKey(o.partition.id, w.id), Row: w.row}}})
-		s.capacityChanged(o)
-	}
-}
-
 // widenBatches doubles the limit of a transaction's changes after one that took effect.
 func (o *ownedPartition) widenBatches(changes int) {
 	if changes == 0 || o.changeLimit == 0 {
--- a/core/control/store_limits_test.go
+++ b/core/control/store_limits_test.go
@@ -132,6 +132,9 @@
 			}
 			w.apply(t, batchRow("odd", 3, 1000, time.Hour), batchRow("study", 64, 1000, time.Hour))
 			w.expect(t, 15*time.Second, "later work has all of the workers", func() bool { return len(w.runs("study")) == 64 })
+			w.store.rejects = nil
+			w.apply(t, batchRow("odd", 3, 1000, time.Hour), batchRow("study", 61, 1000, time.Hour))
+			w.expect(t, 2*time.Minute, "the refused ones run once the store takes them", func() bool { return len(w.runs("odd")) == 3 })
 			w.check(t)
 		})
 	}
@@ -177,3 +180,33 @@
 		t.Error("a refused task was dropped from the inbox")
 	}
 }
+
+// Guards against a replica that is removed for a replacement whose row the store refuses,
+// so that run numbers of the slot begin anew, and against a task that stays assigned for
+// ever because the store took the end of its run in the worker's row only. Stateful fuzzing
+// found both.
+func TestRefusedRowsAroundTheEndOfARun(t *testing.T) {
+	w := taskWorld(21, 1, 8)
+	w.apply(t, portalRow(8), batchRow("study", 8, 1000, time.Hour))
+	w.expect(t, 15*time.Second, "all run", func() bool { return len(w.runs("portal"))+len(w.runs("study")) == 16 })
+	w.store.rejects = func(x structs.Write) bool {
+		row, ok := x.Row.(structs.TaskRow)
+		return ok && (strings.Contains(string(row.Task), "-") || row.Row == "study" && row.Phase != structs.TaskAssigned)
+	}
+	for _, x := range w.workers[:4] {
+		x.dead = true
+	}
+	w.run(90 * time.Second)
+	if n := len(w.tasks("portal")); n != 8 {
+		t.Errorf("%d replicas have a row, want 8", n)
+	}
+	for _, x := range w.workers[:4] {
+		x.restart()
+	}
+	w.apply(t, portalRow(8), batchRow("study", 8, 1000, time.Hour), batchRow("more", 40, 1000, time.Hour))
+	w.expect(t, 15*time.Second, "rows of the workers are written", func() bool { return len(w.runs("more")) == 40 })
+	w.store.rejects = nil
+	w.anyOwner().kill()
+	w.expect(t, 2*time.Minute, "all run again", func() bool { return len(w.runs("portal")) == 8 && len(w.runs("study")) == 8 })
+	w.check(t)
+}
--- a/core/control/task_fuzz_test.go
+++ b/core/control/task_fuzz_test.go
@@ -40,6 +40,7 @@
 			"store":       f.storeFault,
 			"cut":         f.networkFault,
 			"loseAnswers": f.loseAnswers,
+			"refuse":      f.refuseRows,
 			"badRow":      func(t *rapid.T) { f.w.failingRows["batch-a"] = rapid.Bool().Draw(t, "bad") },
 		})
 		f.endFaults()
@@ -178,11 +179,25 @@
 	x.loseAnswers = rapid.SampledFrom([]int{0, 0, 100, 500}).Draw(t, "lose")
 }
 
+// refuseRows makes the store refuse some rows for good, until the next draw.
+func (f *taskFuzz) refuseRows(t *rapid.T) {
+	refused := rapid.SampledFrom([]string{"", "", "batch-a", "portal", "workers", "all"}).Draw(t, "rows")
+	f.w.store.rejects = func(x structs.Write) bool {
+		switch row := x.Row.(type) {
+		case structs.TaskRow:
+			return refused == "all" || row.Row == refused
+		case structs.WorkerRow:
+			return refused == "all" || refused == "workers"
+		}
+		return refused == "all"
+	}
+}
+
 // endFaults ends all faults and runs the world for four minutes.
 func (f *taskFuzz) endFaults() {
 	w := f.w
 	w.cuts = make(map[[2]string]bool)
-	w.store.down, w.store.lose, w.store.slow = false, 0, 0
+	w.store.down, w.store.lose, w.store.slow, w.store.rejects = false, 0, 0, nil
 	w.failingRows = make(map[string]bool)
 	for _, x := range w.workers {
 		x.failsAll, x.noCheckpoints, x.usage, x.loseAnswers = false, false, nil, 0
--- a/core/control/tasks_inbox.go
+++ b/core/control/tasks_inbox.go
@@ -138,9 +138,15 @@
 type transferAccepted struct{ t *task }
 
 func (c transferAccepted) changeCommitted(s *State, o *ownedPartition) {
-	if c.t.writeCommitted() {
-		s.reconcileTask(o, c.t)
+	if !c.t.writeCommitted() {
+		return
+	}
+	if o.tasks.newest(c.t) != c.t {
+		// Its slot has a replacement here whose row was not stored when the home
+		// partition looked for it.
+		s.retire(o, c.t)
 	}
+	s.reconcileTask(o, c.t)
 }
 
 // checkMarker finds out whether the destination partition still has the task:
--- a/core/control/tasks_replace.go
+++ b/core/control/tasks_replace.go
@@ -94,6 +94,9 @@
 			continue
 		}
 		kept = append(kept, t)
+		if !o.stored(newest) {
+			continue // a slot without any stored row would begin its run numbers anew
+		}
 		if t.row.Phase != structs.TaskPending && !s.replicaRunning(newest) && s.now-t.replacedAt < retireTimeout {
 			continue
 		}
--- a/core/control/tasks_save.go
+++ b/core/control/tasks_save.go
@@ -14,6 +14,11 @@
 	s.submit(o, change{writes: writes, onCommit: taskSaved{t}})
 }
 
+// stored reports whether the store has a row of the task.
+func (o *ownedPartition) stored(t *task) bool {
+	return o.versions[structs.TaskKey(o.partition.id, t.row.Task)] > 0
+}
+
 // writeSubmitted records that a change of the row was submitted.
 func (t *task) writeSubmitted() {
 	t.writesInFlight++
--- a/core/control/tasks_settle.go
+++ b/core/control/tasks_settle.go
@@ -31,7 +31,7 @@
 	wasTarget := t.answersCalls()
 	s.releaseRun(o, t, w)
 	switch {
-	case t.intent == intentRemove || o.tasks.newest(t) != t:
+	case t.intent == intentRemove || o.tasks.newest(t) != t && o.stored(o.tasks.newest(t)):
 		s.recordRunEnd(t, w, "removed", st)
 		s.deleteTask(o, t, w)
 	case st.State == structs.RunSucceeded && t.row.Kind == structs.KindBatch:
--- a/core/control/tasks_state.go
+++ b/core/control/tasks_state.go
@@ -243,7 +243,10 @@
 	}
 	for _, t := range o.tasks.all {
 		r := s.rowOf(o, t.row.Row)
-		if t.placed() {
+		switch w := o.tasks.workers[t.row.Worker]; {
+		case t.placed() && (w == nil || !w.hasCommitment(t.ref())):
+			s.requeueUncommitted(o, t)
+		case t.placed():
 			s.charge(o, t, r.sheet.Team, t.row.Request)
 			t.run.startSent, t.run.presumedRunning, t.run.evictedAt = true, true, s.now
 			r.addPlacement(t, o.tasks.workers[t.row.Worker])
@@ -254,6 +257,19 @@
 	}
 }
 
+// requeueUncommitted makes a task pending whose run is over: the commitment of a run is
+// removed only when the run has certainly ended. The task's own row was not written when
+// the store refused it.
+func (s *State) requeueUncommitted(o *ownedPartition, t *task) {
+	s.recordDecision(DecisionRecord{
+		Part: "placement", Action: "requeued", Subject: string(t.row.Task), Where: string(t.row.Worker),
+		Reason: "its worker's row has no commitment for the run", Request: string(t.row.Task),
+	})
+	o.tasks.setPhase(t, structs.TaskPending)
+	t.row.Worker = ""
+	s.saveTask(o, t, nil)
+}
+
 // partitionDropped is called when ownership ends. It writes nothing: the next
 // owner reads the rows from the store.
 func (s *State) partitionDropped(*ownedPartition) {}
--- a/core/control/tasks_sync.go
+++ b/core/control/tasks_sync.go
@@ -35,6 +35,7 @@
 		s.checkQuarantine(o, w)
 	}
 	s.enqueueDelayed(o)
+	s.retrySetAside(o)
 	s.removeRetired(o)
 	s.inboxTick(o)
 	if o.tasks.pending > 0 || o.tasks.reconcile.active {
