scheduler: clocks of simulated workers differ by ID and may be a little behind

All simulated workers of one generation and length of ID began with the same clock, and an incarnation that accepts old starts was always hours behind. The clock begins at a value drawn by the ID; restartAccepting draws, by test and worker, a clock that is behind by less than a lease or by far more. Tests of the longest lease need the latter and use restartFarBehind.

--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -104,23 +105,43 @@
 	f.alive, f.incarnation, f.startedAt, f.epoch, f.leaseEnd = true, f.sim.wall()+int64(f.generation)-f.clockBehind.Milliseconds(), f.sim.now, 0, 0
 	f.calls, f.ackedThrough, f.endTimes = nil, 0, make(map[uint64]time.Duration)
 	f.runs, f.highestRun, f.endedRuns, f.lastEnd, f.lastEndAtExpiry, f.waitingSyncs = make(map[runKey]*fakeRun), make(map[structs.TaskRef]structs.Run), nil, 0, 0, nil
-	f.clockOrigin = rand.New(rand.NewPCG(uint64(f.generation), uint64(len(f.id)))).Int64N(maxFakeClockOrigin.Milliseconds())
+	f.clockOrigin = rand.New(rand.NewPCG(uint64(f.generation), hashOf(string(f.id)))).Int64N(maxFakeClockOrigin.Milliseconds())
 	if !f.unlisted {
 		f.writeEntry(false)
 	}
 }
 
+// hashOf returns a seed of random numbers that differs by name.
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // maxFakeClockOrigin bounds the value at which the clock of an incarnation begins.
 const maxFakeClockOrigin = 3 * time.Hour
 
-// restartAccepting starts a new incarnation whose clock is behind that of the former one,
-// so that it carries out starts that were meant for the former one. With a clock ahead it
-// would refuse them, since the end of their lease is over.
+// restartAccepting starts a new incarnation whose clock is behind that of the former one, by
+// less than a lease or by far more, so that it carries out starts that were meant for the
+// former one. With a clock ahead it would refuse them, since the end of their lease is over.
 func (f *fakeWorker) restartAccepting() {
-	former := f.clock()
+	random := rand.New(rand.NewPCG(hashOf(f.sim.t.Name()), hashOf(string(f.id))+uint64(f.generation)))
+	if random.IntN(2) == 0 {
+		f.restartFarBehind()
+		return
+	}
+	f.restartAt(f.clock() - 1 - random.Int64N(testBounds.MaxLease.Milliseconds()))
+}
+
+// restartFarBehind does so with a clock that is behind by more than a lease: leases that were
+// meant for the former incarnation are the longest ones.
+func (f *fakeWorker) restartFarBehind() { f.restartAt(f.clock() / 2) }
+
+// restartAt starts a new incarnation whose clock shows clockMS.
+func (f *fakeWorker) restartAt(clockMS int64) {
 	f.crash()
 	f.boot()
-	f.clockOrigin = former / 2
+	f.clockOrigin = clockMS
 }
 
 // writeEntry writes the worker's entry into the list of workers.
--- a/core/scheduler/restart_lease_test.go
+++ b/core/scheduler/restart_lease_test.go
@@ -31,7 +31,7 @@
 		return outcome
 	}
 	f.unlisted = true
-	f.restartAccepting()
+	f.restartFarBehind()
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
 	sim.waitFor(time.Second, "the start", func() bool { return f.starts == 1 })
 	sim.advance(testBounds.MaxLease)
@@ -49,7 +49,7 @@
 		l.workers["w01"].pauseStarts(time.Second)
 		f := sim.workers["w00"]
 		f.unlisted = !noticed
-		f.restartAccepting()
+		f.restartFarBehind()
 		if noticed {
 			sim.waitFor(time.Second, "the lists of the next incarnation", func() bool { return l.workers["w00"].incarnation == f.incarnation })
 		}
@@ -113,7 +113,7 @@
 		t.Fatalf("%d starts on their way, want 1", len(l.workers["w00"].runs))
 	}
 	h.deliver(StopRequested{})
-	sim.after(800*time.Millisecond, f.restartAccepting)
+	sim.after(800*time.Millisecond, f.restartFarBehind)
 	sim.waitFor(3*time.Second, "the next leader", func() bool { return sim.leader() != nil && sim.leader() != h })
 	sim.advance(3 * time.Second)
 	if n := f.starts + sim.workers["w01"].starts; n != 1 {
@@ -170,7 +170,7 @@
 	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return fate }}
 	sim.waitFor(time.Second, "no sync in flight", func() bool { return !l.workers["w00"].syncInFlight })
 	f.unlisted = true
-	f.restartAccepting()
+	f.restartFarBehind()
 	fate.answerDelay = 300 * time.Millisecond
 	sim.waitFor(5*time.Second, "the lease by the next incarnation", func() bool { return f.leaseEnd > 0 })
 	h.deliver(StopRequested{})
--- a/core/scheduler/restart_rules_test.go
+++ b/core/scheduler/restart_rules_test.go
@@ -48,7 +48,7 @@
 		return startAnswered
 	}
 	sim.network = &fakeNetwork{sim: sim, fate: func() callFate { return callFate{answerDelay: 100 * time.Millisecond} }}
-	f.restartAccepting()
+	f.restartFarBehind()
 	sim.waitFor(time.Second, "the entry of the next incarnation", func() bool { return l.workers["w00"].entry.Incarnation == f.incarnation })
 	h.storeCut = true
 	if l.workers["w00"].incarnation == f.incarnation {
@@ -71,7 +71,7 @@
 	sim.advance(maxLeaseDuration(testBounds))
 	l.workers["w01"].pauseStarts(200 * time.Millisecond)
 	f.unlisted = true
-	f.restartAccepting()
+	f.restartFarBehind()
 	f.onStart = func(StartTask) startOutcome {
 		sim.after(time.Millisecond, func() { f.disconnected = true })
 		return startUnanswered
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -387,7 +387,7 @@
 	l := sim.leader().state.leaderOf(0)
 	w, f := l.workers["w00"], sim.workers["w00"]
 	sim.advance(testBounds.MaxLease)
-	f.restartAccepting()
+	f.restartFarBehind()
 	sim.waitFor(5*time.Second, "the lists of the next incarnation", func() bool { return w.incarnation == f.incarnation && w.acceptsStarts() })
 	l.workers["w01"].pauseStarts(200 * time.Millisecond)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
@@ -407,7 +407,7 @@
 		sim.advance(maxLeaseDuration(testBounds))
 		l.workers["w01"].pauseStarts(200 * time.Millisecond)
 		f.unlisted = true
-		f.restartAccepting()
+		f.restartFarBehind()
 		f.onStart = func(StartTask) startOutcome {
 			sim.after(time.Millisecond, func() { f.disconnected = true })
 			return outcome
@@ -479,7 +479,7 @@
 		f := sim.workers["w00"]
 		f.commandsNameIncarnation = named
 		f.unlisted = true
-		f.restartAccepting()
+		f.restartFarBehind()
 		sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(1, 5*time.Second, 1000))
 		sim.waitFor(time.Second, "the start by the next incarnation", func() bool { return f.starts == 2 })
 		f.disconnected = true // the run goes on, and no answer comes back
