control: the test of unreadable rows counts the runs that are taken for over

Without the rule that restores the unreadable row of a worker, its runs were requeued and adopted again from the worker's report, which the test did not see; the removal of the rule survived. It counts requeued runs and compares run numbers now.

--- a/core/control/ownership_test.go
+++ b/core/control/ownership_test.go
@@ -255,10 +255,22 @@
 	used := w.committed()
 	odd := w.runs("study")[0].ref.Task
 	owner := w.anyOwner()
+	before := make(map[structs.TaskID]structs.Run)
+	for _, r := range w.runs("study") {
+		before[r.ref.Task] = r.ref.Run
+	}
 	owner.kill()
 	w.spoil(structs.TaskKey(0, odd), structs.WorkerKey(0, w.busiest().spec.ID))
 	w.expect(t, 15*time.Second, "another owner", func() bool { return w.countDecisions("took over", "") == 2 })
 	w.run(60 * time.Second)
+	if n := w.countDecisions("requeued", ""); n != 0 {
+		t.Errorf("%d runs of the worker with the unreadable row were taken for over", n)
+	}
+	for _, r := range w.runs("study") {
+		if r.ref.Task != odd && r.ref.Run != before[r.ref.Task] {
+			t.Errorf("%s is in run %d, run %d before", r.ref.Task, r.ref.Run, before[r.ref.Task])
+		}
+	}
 	if n := len(w.runs("study")); n < 9 || n > 10 {
 		t.Errorf("%d tasks of the study run, want the 9 readable ones", n)
 	}
