--- a/core/scheduler/ack.go
+++ b/core/scheduler/ack.go
@@ -91,7 +91,7 @@
 // startsHeldForAck reports whether a start would make an acknowledgement unsafe, or would
 // delay one that is overdue. A start without an answer delays it anyway.
 func (w *worker) startsHeldForAck() bool {
-	if w.acks.inFlight || w.moreEnded {
+	if w.acks.inFlight {
 		return true
 	}
 	return w.acks.overdue(w.leader.state.now) && !w.hasUnansweredStart()
