--- a/core/scheduler/ack.go
+++ b/core/scheduler/ack.go
@@ -106,14 +106,3 @@
 	}
 	return false
 }
-
-// hasRunOfUnknownIncarnation reports whether the next incarnation of the worker may have
-// carried out the start of a run.
-func (w *worker) hasRunOfUnknownIncarnation() bool {
-	for _, r := range w.runs {
-		if !w.confirmedByKnownIncarnation(r) && !w.refusedByKnownIncarnation(r) {
-			return true
-		}
-	}
-	return false
-}
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -110,8 +110,8 @@
 		w.entry.Address, w.usedAddress, w.used = address, address, true
 		l.unreconciled[id] = true
 		if end, known := of.usedWorkers.LeasesEndMS[id]; known {
-			w.leasesEndBy = max(s.now+time.Duration(end-storeMS)*time.Millisecond, 0)
-			w.storedLeasesEndBy = w.leasesEndBy
+			w.foreign.endBy = max(s.now+time.Duration(end-storeMS)*time.Millisecond, 0)
+			w.foreign.storedEndBy = w.foreign.endBy
 		}
 		if end, known := of.usedWorkers.RunsEndMS[id]; known && of.usedWorkers.Epoch == attempt.epoch-1 {
 			w.endPublished = true
--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -36,10 +36,18 @@
 	return maxCommandTransit + time.Duration(float64(b.MaxLease)/minClockRate) + b.StopTimeout + leaseEndSlack
 }
 
-// boundLeases records that commands that were meant for the former incarnation of the
-// worker may have granted leases to this one, also after now.
+// foreignLeases bounds the leases whose ends were computed with the clock of another
+// incarnation than the one that granted them.
+type foreignLeases struct {
+	endBy       Instant // when they and the runs under them have ended; 0: there are none
+	sentEndBy   Instant // the same in the last commit of the used workers
+	storedEndBy Instant // the same as stored, for later leaders
+}
+
+// boundLeases records that commands for the former incarnation of the worker may have
+// granted leases to this one, or may do so until they are abandoned.
 func (w *worker) boundLeases() {
-	w.leasesEndBy = w.leader.state.now + foreignLeaseDuration(w.leader.state.bounds)
+	w.foreign.endBy = w.leader.state.now + foreignLeaseDuration(w.leader.state.bounds)
 	w.leader.commits.usedWorkersChanged = true
 }
 
@@ -51,10 +59,8 @@
 	}
 }
 
-// leasesStored reports whether a later leader learns of the leases that boundLeases bounds.
-func (w *worker) leasesStored() bool {
-	return w.storedLeasesEndBy >= w.leasesEndBy || w.leader.state.now >= w.leasesEndBy
-}
+// known reports whether later leaders learn of the bound, or it has passed.
+func (f *foreignLeases) known(now Instant) bool { return f.storedEndBy >= f.endBy || now >= f.endBy }
 
 // clockLowerBound returns a lower bound of the time on the worker's clock, in ms.
 func (w *worker) clockLowerBound(now Instant) int64 {
@@ -80,22 +86,17 @@
 		if w.inheritedEnd > 0 {
 			end = min(end, w.inheritedEnd)
 		}
-		return max(end, w.leasesEndBy)
+		return max(end, w.foreign.endBy)
 	}
-	left := max(w.sentLeaseEnd-w.clockMS, 0)
-	end := max(w.clockAt+time.Duration(float64(left)/minClockRate)*time.Millisecond+b.StopTimeout+leaseEndSlack, w.leasesEndBy)
+	left := time.Duration(max(w.sentLeaseEnd-w.clockMS, 0)) * time.Millisecond
+	leaseEnd := w.clockAt + time.Duration(float64(left)/minClockRate)
+	end := max(leaseEnd+b.StopTimeout+leaseEndSlack, w.foreign.endBy)
 	if w.nextIncarnationMayRun() {
 		end = max(end, w.leaseSentAt+foreignLeaseDuration(b))
 	}
 	return end
 }
 
-// nextIncarnationMayRun reports whether the list of workers shows an incarnation that has
-// not answered, which may have carried out starts.
-func (w *worker) nextIncarnationMayRun() bool {
-	return !w.entryIsCurrent() && w.hasRunOfUnknownIncarnation()
-}
-
 // awaitRunsEnd handles the end of all runs on a worker that does not answer at the time
 // at which it is certain.
 func (w *worker) awaitRunsEnd() {
@@ -124,17 +125,3 @@
 		w.clockMS, w.clockAt = ms, w.leader.state.now
 	}
 }
-
-// observeAnswer updates the worker's incarnation from the answer to a command that names
-// it. The run of the command, r, belongs to the incarnation that answered.
-func (w *worker) observeAnswer(o CommandDone, r *run) {
-	if o.Incarnation != 0 && o.Incarnation < w.incarnation {
-		return // a delayed answer of an earlier incarnation
-	}
-	if o.Incarnation != 0 && w.incarnation != 0 && o.Incarnation != w.incarnation {
-		w.removeRun(r)
-		w.handleRestart(o.Incarnation, shownByCommand)
-		w.boundLeases()
-		w.addRun(r)
-	}
-}
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -38,8 +38,11 @@
 
 // acceptsStarts reports whether tasks may be started on the worker now.
 func (w *worker) acceptsStarts() bool {
-	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.listsRead && w.used && w.usedAddress == w.entry.Address &&
-		!w.endPublished && w.leasesStored() && w.failedSyncs == 0 && w.startsPausedUntil <= w.leader.state.now && !w.startsHeldForAck()
+	now := w.leader.state.now
+	inUse := w.listed && w.entryIsCurrent() && !w.entry.Draining
+	answers := w.listsRead && w.failedSyncs == 0 && w.startsPausedUntil <= now
+	stored := w.used && w.usedAddress == w.entry.Address && !w.endPublished && w.foreign.known(now)
+	return inUse && answers && stored && !w.startsHeldForAck()
 }
 
 // withinStepLimit reports whether one more task of a step may run on the worker
--- a/core/scheduler/usedworkers.go
+++ b/core/scheduler/usedworkers.go
@@ -22,8 +22,8 @@
 		if w.failedSyncs > 0 {
 			u.RunsEndMS[w.id] = l.storeTimeOf(w.allRunsEndedAt(l.state.bounds))
 		}
-		if w.leasesEndBy > l.state.now {
-			u.LeasesEndMS[w.id] = l.storeTimeOf(w.leasesEndBy)
+		if w.foreign.endBy > l.state.now {
+			u.LeasesEndMS[w.id] = l.storeTimeOf(w.foreign.endBy)
 		}
 	}
 	for _, used := range []bool{true, false} { // those that may have runs come first
@@ -40,7 +40,7 @@
 // perform it without an answer.
 func (l *leaderState) usedWorkersSent(u UsedWorkersRow) {
 	for _, id := range l.workerIDs {
-		l.workers[id].sentLeasesEndBy = l.workers[id].leasesEndBy
+		l.workers[id].foreign.sentEndBy = l.workers[id].foreign.endBy
 	}
 	for id := range u.RunsEndMS {
 		l.workers[id].endPublished = true
@@ -54,7 +54,7 @@
 		w.usedAddress, w.used = u.Workers[id]
 		_, w.endPublished = u.RunsEndMS[id]
 		if w.used {
-			w.storedLeasesEndBy = w.sentLeasesEndBy
+			w.foreign.storedEndBy = w.foreign.sentEndBy
 		}
 	}
 	l.schedule.requestPass()
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -32,9 +32,7 @@
 	leaseSentAt        Instant // when a lease end was last sent
 	inheritedEnd       Instant // when all runs that former leaders started have certainly ended, as the last one stored it; 0: not known
 	endPublished       bool    // the stored list of used workers may tell when its runs end, so that no lease is granted
-	leasesEndBy        Instant // bound of leases that were sent to a former incarnation and granted by this one; 0: none
-	sentLeasesEndBy    Instant // the same in the last commit of the used workers
-	storedLeasesEndBy  Instant // the same as stored, for a later leader
+	foreign            foreignLeases
 
 	syncInFlight bool
 	nextSyncAt   Instant // 0: no sync is scheduled
