review case 7: later steps of jobs stand still once their shard has lost a rack

Cause: a job moves to another shard only while none of its tasks has run (core/scheduler/moving.go), and labels are looked at only at its acceptance (route.go).

--- a/review/standin-2/checker.go
+++ b/review/standin-2/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,18 +28,21 @@
 	AntiAffinity int   `json:"AntiAffinity,omitempty"`
 	Persistent   bool  `json:"Persistent,omitempty"`
 	MayMiss      int   `json:"MayMiss,omitempty"`
+
+	After        []int  `json:"After,omitempty"`
+	Requirements string `json:"Requirements,omitempty"`
 }
 
-// job is a job of one step that a caller has submitted.
+// job is a job that a caller has submitted. All cases but one have jobs of one step.
 type job struct {
 	name     string // in the record
 	advised  bool   // not every worker may run it, so that LOST is not judged
 	id       string
-	step     step
+	steps    []step
 	spec     taskSpec
 	accepted time.Time
-	state    string // as last shown to a caller
-	tasks    []*task
+	state    string    // as last shown to a caller
+	tasks    [][]*task // by step
 	idle     time.Time // since when LOST counts; zero: it does not
 	broken   bool
 }
@@ -64,58 +68,65 @@
 	workers    []*worker
 	usedCpu    map[*worker]int64
 	usedMem    map[*worker]int64
-	disrupted  time.Time // end of the last disruption
-	lastHandIn time.Time // when a job was last accepted
+	dead       map[*worker]bool // lost for good
+	disrupted  time.Time        // end of the last disruption
+	lastHandIn time.Time        // when a job was last accepted
 	violations []string
 }
 
 func newChecker(rec *recorder) *checker {
-	return &checker{rec: rec, jobs: make(map[string]*job), usedCpu: make(map[*worker]int64), usedMem: make(map[*worker]int64)}
+	return &checker{rec: rec, jobs: make(map[string]*job), usedCpu: make(map[*worker]int64), usedMem: make(map[*worker]int64), dead: make(map[*worker]bool)}
 }
 
 func (c *checker) add(j *job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for range j.step.Count {
-		j.tasks = append(j.tasks, &task{})
+	for _, s := range j.steps {
+		tasks := make([]*task, s.Count)
+		for i := range tasks {
+			tasks[i] = &task{}
+		}
+		j.tasks = append(j.tasks, tasks)
 	}
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 }
 
-// find returns the job and the task with a name on the wire.
-func (c *checker) find(name string) (*job, *task) {
+// find returns the job, the step and the task with a name on the wire.
+func (c *checker) find(name string) (*job, *step, *task) {
 	parts := strings.Split(name, ".")
 	j := c.jobs[parts[0]]
 	if len(parts) != 4 || j == nil {
-		return nil, nil
+		return nil, nil, nil
+	}
+	at, err := strconv.Atoi(parts[2])
+	if err != nil || at < 0 || at >= len(j.steps) {
+		return nil, nil, nil
 	}
 	n, err := strconv.Atoi(parts[3])
-	if err != nil || n < 0 || n >= len(j.tasks) {
-		return nil, nil
+	if err != nil || n < 0 || n >= len(j.tasks[at]) {
+		return nil, nil, nil
 	}
-	return j, j.tasks[n]
+	return j, &j.steps[at], j.tasks[at][n]
 }
 
 func (c *checker) stepOf(name string) *step {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if j, _ := c.find(name); j != nil {
-		return &j.step
-	}
-	return nil
+	_, s, _ := c.find(name)
+	return s
 }
 
 // started records the start of a run; the worker's lock is held.
 func (c *checker) started(w *worker, r *run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	j, t := c.find(r.task)
+	j, s, t := c.find(r.task)
 	c.rec.log("worker", "%s starts %s run %d (%s)", w.id, r.task, r.number, j.name)
 	if t.on != nil {
 		c.breakRule("TWICE: %s runs on %s and %s", r.task, t.on.id, w.id)
 	}
-	if t.done && !j.step.Persistent {
+	if t.done && !s.Persistent {
 		c.breakRule("TWICE: %s is started after it was done", r.task)
 	}
 	t.on, t.since = w, r.started
@@ -128,13 +139,13 @@
 func (c *checker) ended(w *worker, r *run, how string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	j, t := c.find(r.task)
+	j, s, t := c.find(r.task)
 	c.rec.log("worker", "%s ends %s run %d: %s at %d percent (%s)", w.id, r.task, r.number, how, r.percent(), j.name)
 	c.usedCpu[w] -= r.step.Cpu
 	c.usedMem[w] -= r.step.MemMb
-	if how == "lapsed" && j.step.MayMiss > 0 && r.percent() == 100 && c.calm(time.Now()) {
-		if away := j.away(t); away >= j.step.MayMiss {
-			c.breakRule("AVAIL: the lease of %s lapses at work on a sound worker, while %d others of its step are away (MayMiss %d)", r.task, away, j.step.MayMiss)
+	if how == "lapsed" && s.MayMiss > 0 && r.percent() == 100 && c.calm(time.Now()) {
+		if away := j.away(t); away >= s.MayMiss {
+			c.breakRule("AVAIL: the lease of %s lapses at work on a sound worker, while %d others of its step are away (MayMiss %d)", r.task, away, s.MayMiss)
 		}
 	}
 	t.on, t.lastEnd, t.lastHow = nil, time.Now(), how
@@ -144,11 +155,19 @@
 	}
 }
 
-// away returns how many other tasks are away: ended by an order or a lapse, or not at
+// lost records that a worker is lost for good.
+func (c *checker) lost(w *worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead[w] = true
+	c.rec.log("worker", "%s (%s, %s) is lost for good", w.id, w.kind, w.rack)
+}
+
+// away returns how many other tasks of the first step are away: ended by an order or a lapse, or not at
 // work for the time of the notice.
 func (j *job) away(except *task) int {
 	n := 0
-	for _, t := range j.tasks {
+	for _, t := range j.tasks[0] {
 		atWork := t.on != nil && time.Since(t.since) >= startupTime
 		switch {
 		case t == except || atWork:
@@ -195,7 +214,7 @@
 			continue
 		}
 		c.sampleJob(j, now, half)
-		if j.step.Persistent {
+		if j.steps[0].Persistent {
 			c.sampleLasting(j, now, half)
 		}
 	}
@@ -204,27 +223,44 @@
 // sampleJob applies LOST to a job as a whole, from the end of the traffic on: it has nothing
 // running while a task's turn has come, with room for it twice over.
 func (c *checker) sampleJob(j *job, now time.Time, half bool) {
-	waiting, running := 0, 0
-	for _, t := range j.tasks {
-		switch {
-		case t.on != nil:
-			running++
-		case !t.done:
-			waiting++
+	waiting, running, room := 0, 0, true
+	for i, tasks := range j.tasks {
+		due := 0
+		for _, t := range tasks {
+			switch {
+			case t.on != nil:
+				running++
+			case !t.done && j.turn(i):
+				due++
+			}
 		}
+		waiting += due
+		room = room && (due == 0 || c.room(&j.steps[i]) >= 2*due)
 	}
-	idle := running == 0 && waiting > 0 && half && now.Sub(c.lastHandIn) >= finishTime && c.room(&j.step) >= 2*waiting
+	idle := running == 0 && waiting > 0 && half && room && now.Sub(c.lastHandIn) >= finishTime
 	if since, lost := c.track(&j.idle, idle, now); lost && !j.broken {
 		j.broken = true
 		c.breakRule("LOST: job %s (%s) has had nothing running since %.3f, with room for its %d tasks twice over", j.id, j.name, since.Sub(c.rec.start).Seconds(), waiting)
 	}
 }
 
+// turn reports whether all tasks of the steps before a step are done.
+func (j *job) turn(at int) bool {
+	for _, before := range j.steps[at].After {
+		for _, t := range j.tasks[before] {
+			if !t.done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // sampleLasting applies LOST to each task that lasts, at any time. The rule counts it
 // however full the service is; this check leaves out full ones.
 func (c *checker) sampleLasting(j *job, now time.Time, half bool) {
-	room := c.room(&j.step) >= 2
-	for i, t := range j.tasks {
+	room := c.room(&j.steps[0]) >= 2
+	for i, t := range j.tasks[0] {
 		idle := t.on == nil && t.starts > 0 && now.Sub(t.lastEnd) >= lastingGrace && half && room
 		if _, lost := c.track(&t.idle, idle, now); lost && !j.broken {
 			j.broken = true
@@ -250,7 +286,9 @@
 func (c *checker) halfIdle() bool {
 	var used, all int64
 	for _, w := range c.workers {
-		used, all = used+c.usedCpu[w], all+w.cpu
+		if !c.dead[w] {
+			used, all = used+c.usedCpu[w], all+w.cpu
+		}
 	}
 	return 2*used < all
 }
@@ -259,6 +297,9 @@
 func (c *checker) room(s *step) int {
 	n := 0
 	for _, w := range c.workers {
+		if c.dead[w] || s.Requirements != "" && s.Requirements != w.kind {
+			continue
+		}
 		fits := min((w.cpu-c.usedCpu[w])/s.Cpu, (w.memMb-c.usedMem[w])/s.MemMb)
 		if s.AntiAffinity > 0 {
 			fits = min(fits, int64(s.AntiAffinity))
@@ -273,14 +314,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, j := range c.order {
-		starts, failures, done := 0, 0, 0
-		for _, t := range j.tasks {
+		starts, failures, done, all := 0, 0, 0, slices.Concat(j.tasks...)
+		for _, t := range all {
 			starts, failures = starts+t.starts, failures+t.failures
 			if t.done {
 				done++
 			}
 		}
-		c.rec.log("job", "%s (%s): %d tasks, %d starts, %d failed, %d done, last shown as %q", j.id, j.name, len(j.tasks), starts, failures, done, j.state)
+		c.rec.log("job", "%s (%s): %d tasks, %d starts, %d failed, %d done, last shown as %q", j.id, j.name, len(all), starts, failures, done, j.state)
 	}
 	if len(c.violations) == 0 {
 		c.rec.log("verdict", "all rules held")
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -114,6 +114,7 @@
 	store      *store
 	advice     string         // address of the advice service
 	allowed    func(int) bool // tells by a worker's number whether it may run advised steps
+	kinds      map[int]string // of racks by their numbers; "a" where there is none
 	hosts      []*host
 	folder     string
 	keep       bool
@@ -144,7 +145,7 @@
 	go func() { _ = (&http.Server{Handler: d.store}).Serve(ear) }()
 	d.store.put("op", "config", json.RawMessage(configText))
 	for i := range workers {
-		w, err := newWorker(i, cpu, d.store, d.checker)
+		w, err := newWorker(i, d.kindOf(i), cpu, d.store, d.checker)
 		must(err)
 		d.checker.workers = append(d.checker.workers, w)
 	}
@@ -187,6 +188,14 @@
 	writeJSON(w, http.StatusOK, map[string]any{"Allowed": rows, "ValidMs": 3000})
 }
 
+// kindOf returns the kind of a worker.
+func (d *deployment) kindOf(worker int) string {
+	if kind := d.kinds[worker/workersPerRack]; kind != "" {
+		return kind
+	}
+	return "a"
+}
+
 // deployedProgram returns the command of the deploy file.
 func deployedProgram() []string {
 	data, err := os.ReadFile(deployFile)
@@ -279,14 +288,14 @@
 }
 
 // submit hands in a job and follows its state. It returns once the job is accepted.
-func (d *deployment) submit(queue, name string, s step, spec taskSpec) *job {
-	j := &job{name: name, id: fmt.Sprintf("%016x", rand.Uint64()), step: s, spec: spec, advised: queue == advisedQueue}
+func (d *deployment) submit(queue, name string, spec taskSpec, steps ...step) *job {
+	j := &job{name: name, id: fmt.Sprintf("%016x", rand.Uint64()), steps: steps, spec: spec, advised: queue == advisedQueue}
 	d.checker.add(j)
 	text, err := json.Marshal(spec)
 	must(err)
-	body := map[string]any{"Spec": string(text), "Steps": []step{s}}
+	body := map[string]any{"Spec": string(text), "Steps": steps}
 	for range attempts {
-		d.rec.log("caller", "POST %s%s (%s): %d tasks, %d millicores each, %s", queue, j.id, name, s.Count, s.Cpu, text)
+		d.rec.log("caller", "POST %s%s (%s): %+v, %s", queue, j.id, name, steps, text)
 		status, _ := d.call(http.MethodPost, queue+j.id, body)
 		d.rec.log("caller", "POST %s%s is answered with %d", queue, j.id, status)
 		if status/100 == 2 {
--- a/review/standin-2/link.go
+++ b/review/standin-2/link.go
@@ -54,6 +54,19 @@
 	return n
 }
 
+// reset closes all open connections with a reset.
+func (l *listener) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+	l.conns = make(map[*silentConn]bool)
+}
+
 // silentConn is a connection on which nothing arrives any more, in either direction,
 // once it is silenced.
 type silentConn struct {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 	"hold":    runHold,
 	"silence": runSilence,
 	"failing": runFailing,
+	"rack":    runRack,
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -63,6 +63,15 @@
 	s.wake()
 }
 
+// remove removes a row for the platform.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(row{Table: table, Key: key, Removed: true})
+	s.wake()
+}
+
 func (s *store) set(r row) {
 	r.RowVersion = s.version
 	key := rowKey{r.Table, r.Part, r.Key}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -18,6 +18,9 @@
 	commandTime = 5 * time.Millisecond   // that a worker takes for an order
 	tick        = 10 * time.Millisecond
 	maxEnds     = 500 // listed in one answer
+
+	workersPerRack = 8
+	missedBeats    = 3 // after which an entry is removed
 )
 
 // taskSpec is the Spec of the jobs of the cases.
@@ -48,6 +51,7 @@
 // worker is a sound worker that guards its capacity.
 type worker struct {
 	id      string
+	kind    string // label
 	rack    string
 	cpu     int64
 	memMb   int64
@@ -67,11 +71,12 @@
 	ends     []endedRun
 	lastEnd  uint64
 	wakeup   chan struct{}
+	gone     bool
 }
 
-func newWorker(number int, cpu int64, s *store, c *checker) (*worker, error) {
+func newWorker(number int, kind string, cpu int64, s *store, c *checker) (*worker, error) {
 	w := &worker{
-		id: fmt.Sprintf("i-%08x", rand.Uint32()), rack: fmt.Sprintf("r1-%d", number/4), cpu: cpu, memMb: 128000, store: s, checker: c,
+		id: fmt.Sprintf("i-%08x", rand.Uint32()), kind: kind, rack: fmt.Sprintf("r1-%02d", number/workersPerRack), cpu: cpu, memMb: 128000, store: s, checker: c,
 		origin: time.Now().Add(-time.Duration(rand.IntN(3600)) * time.Second), born: time.Now().UnixMilli(),
 		runs: make(map[string]*run), highest: make(map[string]uint64), wakeup: make(chan struct{}),
 	}
@@ -90,10 +95,14 @@
 func (w *worker) beat() {
 	for ; ; time.Sleep(heartbeat) {
 		w.mu.Lock()
+		if w.gone {
+			w.mu.Unlock()
+			return
+		}
 		w.sequence++
 		entry := map[string]any{
 			"Service": serviceName, "Address": w.address, "Zone": "aba-a", "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.memMb, "Gpus": 0}, "Labels": []string{"a", w.rack}, "ClockMs": w.clock(),
+			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.memMb, "Gpus": 0}, "Labels": []string{w.kind, w.rack}, "ClockMs": w.clock(),
 			"Sequence": w.sequence, "born": w.born, "Machine": "m-" + w.id[2:],
 		}
 		w.mu.Unlock()
@@ -101,12 +110,31 @@
 	}
 }
 
+// loseForGood crashes the worker. It runs nothing from then on, its address answers nobody,
+// and its entry is removed after three status reports.
+func (w *worker) loseForGood() {
+	w.mu.Lock()
+	w.gone = true
+	for _, r := range w.sorted() {
+		w.end(r, "crashed")
+	}
+	w.mu.Unlock()
+	_ = w.ear.Close()
+	w.ear.reset()
+	w.checker.lost(w)
+	time.AfterFunc(missedBeats*heartbeat, func() { w.store.remove("servers", w.id) })
+}
+
 func (w *worker) clock() int64 { return time.Since(w.origin).Milliseconds() }
 
 // work ends the runs whose time has come.
 func (w *worker) work() {
 	for range time.Tick(tick) {
 		w.mu.Lock()
+		if w.gone {
+			w.mu.Unlock()
+			return
+		}
 		lapsed := w.clock() >= w.leaseEnd
 		for _, r := range w.sorted() {
 			elapsed := time.Since(r.started).Milliseconds()
