scheduler: room is kept only where the task may run, and not the worker

Cause, from the leader's log: `worker: kept free` for the three idle workers every 1.5 s in the name of that job. holdWorkers kept a worker free wherever the task would fit once the finite runs had ended. It did not ask whether the task may run there, how long the finite runs go on, or how many workers are kept free, and it closed the whole worker. The pass after a hold serves persistent jobs first, so that the same job held the workers again.

Change: what is kept is the room that the task needs; what fits beside it starts. It is not kept from a step that no other worker can run, nor from a persistent task that has waited as long. The advice service is asked about full workers too, since a worker is kept free only once it is allowed. This works because each reason for which the hold can not be met or has no end is now one for not making it, and what remains is bounded.

--- a/core/scheduler/advice.go
+++ b/core/scheduler/advice.go
@@ -67,7 +67,7 @@
 
 // askAdvice requests advice on which of the best workers for a step may run it.
 func (l *leaderState) askAdvice(j *job, key stepKey) {
-	step, policy := &j.Steps[key.step], l.state.config.policyOf(&j.Job)
+	policy := l.state.config.policyOf(&j.Job)
 	if policy.Advice == nil || l.advice.requestInFlight {
 		return // a later pass asks
 	}
@@ -75,7 +75,7 @@
 		l.schedule.requestPassAt(l.advice.retryAt)
 		return
 	}
-	workers := l.adviceCandidates(j, key, step, policy)
+	workers := l.adviceCandidates(j, key)
 	if len(workers) == 0 {
 		return
 	}
@@ -90,32 +90,58 @@
 	l.state.emit(e)
 }
 
-// adviceCandidates returns the best workers with room for a task of a step for
-// which there is neither a denial nor a valid ticket.
-func (l *leaderState) adviceCandidates(j *job, key stepKey, step *structs.Step, policy *structs.Policy) []structs.WorkerID {
+// adviceAllows reports whether the advice service has allowed a worker to run a step, also
+// when the ticket has expired since.
+func (l *leaderState) adviceAllows(w *worker, key stepKey, policy *structs.Policy) bool {
+	if policy.Advice == nil {
+		return true
+	}
+	a := l.advice.steps[key]
+	if a == nil {
+		return false
+	}
+	_, allowed := a.tickets[w.id]
+	return allowed
+}
+
+// adviceCandidates returns the best workers for a task of a step for which there is neither
+// a denial nor a valid ticket: those with room or, if there are none and the step has long
+// waited for a worker to be kept free, those where room comes.
+func (l *leaderState) adviceCandidates(j *job, key stepKey) []structs.WorkerID {
+	f := l.newStepFilter(j, key)
+	candidates := l.rankUnadvised(f, func(w *worker) bool {
+		_, has := l.ticketFor(w, key, f.policy)
+		return !has && f.accepts(w)
+	})
+	if len(candidates) == 0 && f.waitsAsPersistent() {
+		candidates = l.rankUnadvised(f, func(w *worker) bool { return !l.adviceAllows(w, key, f.policy) && f.roomComes(w) })
+	}
+	return candidates[:min(len(candidates), maxAdviceWorkers)]
+}
+
+// rankUnadvised returns the workers that a condition holds for and that the advice service
+// has not denied, the best first.
+func (l *leaderState) rankUnadvised(f *stepFilter, holds func(*worker) bool) []structs.WorkerID {
 	type scored struct {
 		id    structs.WorkerID
 		score float64
 	}
 	var candidates []scored
-	known := l.advice.steps[key]
-	image := l.interference.imageIDOf(step.Image)
+	known := l.advice.steps[f.key]
+	image := l.interference.imageIDOf(f.step.Image)
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
-		if !l.filter(w, j, step, policy) || known != nil && known.denied[id] {
-			continue
-		}
-		if _, has := l.ticketFor(w, key, policy); has {
+		if known != nil && known.denied[id] || !holds(w) {
 			continue
 		}
-		if score, ok := l.score(w, j, step, image); ok {
+		if score, ok := l.score(w, f.job, f.step, image); ok {
 			candidates = append(candidates, scored{id, score})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	var ids []structs.WorkerID
-	for _, c := range candidates[:min(len(candidates), maxAdviceWorkers)] {
-		ids = append(ids, c.id)
+	ids := make([]structs.WorkerID, len(candidates))
+	for i, c := range candidates {
+		ids[i] = c.id
 	}
 	return ids
 }
--- a/core/scheduler/evacuate.go
+++ b/core/scheduler/evacuate.go
@@ -34,7 +34,5 @@
 	if !r.step.SavesProgress || r.percent <= 0 {
 		return false
 	}
-	worked := now - r.confirmedAt
-	remaining := worked * time.Duration(100-r.percent) / time.Duration(r.percent)
-	return now+remaining+evacuationMargin > leaves
+	return now+r.expectedRemaining(now)+evacuationMargin > leaves
 }
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -400,7 +400,7 @@
 	t.notBefore = l.state.now + retryDelay
 	l.schedule.requestPassAt(t.notBefore)
 	if j.Steps[ref.Step].Persistent {
-		w.keepFree(j, restartHoldTime)
+		w.keepRoom(keptRoom{job: j, need: reservation(&j.Steps[ref.Step]), forRestart: true}, restartHoldTime)
 		return
 	}
 	limit := l.state.config.policyOf(&j.Job).Attempts
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -16,19 +16,71 @@
 	imageWeight    = 1.0 // of the share of serving tasks on the worker with the task's image
 )
 
-// filter reports whether a task may be started on a worker.
-func (l *leaderState) filter(w *worker, j *job, step *structs.Step, policy *structs.Policy) bool {
-	if w.entry.Service != policy.Service || !w.acceptsStarts() || !step.BestEffort && w.heldForOther(j) {
+// stepFilter decides on which workers tasks of one step may be started. It is valid
+// within one scheduling pass.
+type stepFilter struct {
+	leader *leaderState
+	job    *job
+	key    stepKey
+	step   *structs.Step
+	policy *structs.Policy
+
+	yields        bool // tasks leave room that is kept for other jobs to them
+	yieldsDecided bool
+}
+
+func (l *leaderState) newStepFilter(j *job, key stepKey) *stepFilter {
+	return &stepFilter{leader: l, job: j, key: key, step: &j.Steps[key.step], policy: l.state.config.policyOf(&j.Job)}
+}
+
+// suits reports whether a task may be started on a worker when it has room.
+func (f *stepFilter) suits(w *worker) bool {
+	return w.entry.Service == f.policy.Service && w.acceptsStarts() && w.hasLabel(f.step.Label)
+}
+
+// hasRoom reports whether what a task reserves is free on a worker.
+func (f *stepFilter) hasRoom(w *worker) bool {
+	return reservation(f.step).Add(w.reserved).Fits(w.entry.Capacity)
+}
+
+// accepts reports whether a task may be started on a worker now, as far as its room is
+// concerned.
+func (f *stepFilter) accepts(w *worker) bool {
+	if !f.suits(w) || !f.hasRoom(w) {
 		return false
 	}
-	if !reservation(step).Add(w.reserved).Fits(w.entry.Capacity) {
+	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || f.yieldsKeptRoom()) {
 		return false
 	}
-	if !w.hasLabel(step.Label) {
-		return false
+	return !f.step.BestEffort || w.throttle.speedLimit == fullSpeed && w.idleMilliCores() >= f.step.Request.MilliCores ||
+		f.job.starved(f.leader.state.now) && w.acceptsStarvedJob()
+}
+
+// yieldsKeptRoom reports whether tasks of the step wait where room is kept for another
+// job. They do only while another worker could run them. A persistent task that waits as
+// long as the other one does not yield to it.
+func (f *stepFilter) yieldsKeptRoom() bool {
+	if f.yieldsDecided {
+		return f.yields
 	}
-	return !step.BestEffort || w.throttle.speedLimit == fullSpeed && w.idleMilliCores() >= step.Request.MilliCores ||
-		j.starved(l.state.now) && w.acceptsStarvedJob()
+	f.yieldsDecided = true
+	f.yields = !f.waitsAsPersistent() && slices.ContainsFunc(f.leader.workerIDs, func(id structs.WorkerID) bool {
+		w := f.leader.workers[id]
+		return !w.keepsRoomFrom(f.job, f.step) && f.couldRun(w)
+	})
+	return f.yields
+}
+
+// waitsAsPersistent reports whether the step is persistent and has waited for so long
+// that workers are kept free for it.
+func (f *stepFilter) waitsAsPersistent() bool {
+	return f.step.Persistent && f.leader.state.now-f.job.waitingSince >= holdDelay
+}
+
+// couldRun reports whether a worker could run a task of the step if nothing else ran there.
+func (f *stepFilter) couldRun(w *worker) bool {
+	return f.suits(w) && reservation(f.step).Fits(w.entry.Capacity) && w.withinStepLimit(f.key, f.step) &&
+		f.leader.adviceAllows(w, f.key, f.policy)
 }
 
 // hasLabel reports whether the worker has a label; all workers have the empty one.
@@ -47,13 +99,13 @@
 
 // withinStepLimit reports whether one more task of a step may run on the worker
 // within the step's limit per worker.
-func (w *worker) withinStepLimit(ref structs.TaskRef, step *structs.Step) bool {
+func (w *worker) withinStepLimit(of stepKey, step *structs.Step) bool {
 	if step.PerWorker == 0 {
 		return true
 	}
 	n := 0
 	for key := range w.runs {
-		if key.ref.Job == ref.Job && key.ref.Step == ref.Step && key.ref.Occurrence == ref.Occurrence {
+		if stepKeyOf(key.ref) == of {
 			n++
 		}
 	}
@@ -155,8 +207,8 @@
 // packGang returns a worker with a label for each member of a gang, or nil. An empty
 // label allows all workers.
 func (l *leaderState) packGang(j *job, occurrence, stepIndex int, label string) []*worker {
-	step := &j.Steps[stepIndex]
-	policy := l.state.config.policyOf(&j.Job)
+	f := l.newStepFilter(j, stepKey{j.ID, occurrence, stepIndex})
+	step := f.step
 	image := l.interference.imageIDOf(step.Image)
 	reserved := make(map[*worker]structs.Resources)
 	members := make(map[*worker]int)
@@ -169,10 +221,10 @@
 			if label != "" && !slices.Contains(w.entry.Labels, label) {
 				continue
 			}
-			if !l.filter(w, j, step, policy) || step.PerWorker > 0 && members[w] >= step.PerWorker {
+			if !f.accepts(w) || step.PerWorker > 0 && members[w] >= step.PerWorker {
 				continue
 			}
-			if _, allowed := l.ticketFor(w, stepKey{j.ID, occurrence, stepIndex}, policy); !allowed {
+			if _, allowed := l.ticketFor(w, f.key, f.policy); !allowed {
 				continue
 			}
 			if !reservation(step).Add(reserved[w]).Add(w.reserved).Fits(w.entry.Capacity) {
--- a/core/scheduler/ranking.go
+++ b/core/scheduler/ranking.go
@@ -11,9 +11,7 @@
 // valid within one scheduling pass. Tasks of a step are alike, so that only the
 // worker that a task was placed on has to be rated again.
 type ranking struct {
-	leader  *leaderState
-	job     *job
-	key     stepKey
+	filter  *stepFilter
 	workers []ratedWorker // a heap, best first; built at the first use
 	rated   bool
 }
@@ -25,7 +23,7 @@
 }
 
 func (l *leaderState) newRanking(j *job, occurrence, step int) *ranking {
-	return &ranking{leader: l, job: j, key: stepKey{j.ID, occurrence, step}}
+	return &ranking{filter: l.newStepFilter(j, stepKey{j.ID, occurrence, step})}
 }
 
 func (r *ranking) Len() int { return len(r.workers) }
@@ -55,16 +53,16 @@
 // rate returns the score of a worker for a task of the step, or false if the task
 // may not be started there.
 func (r *ranking) rate(w *worker) (float64, bool) {
-	l, step := r.leader, &r.job.Steps[r.key.step]
-	policy := l.state.config.policyOf(&r.job.Job)
-	if !l.filter(w, r.job, step, policy) || !w.withinStepLimit(structs.TaskRef{Job: r.key.job, Occurrence: r.key.occurrence, Step: r.key.step}, step) {
+	f := r.filter
+	if !f.accepts(w) || !w.withinStepLimit(f.key, f.step) {
 		return 0, false
 	}
-	if _, allowed := l.ticketFor(w, r.key, policy); !allowed {
+	l := f.leader
+	if _, allowed := l.ticketFor(w, f.key, f.policy); !allowed {
 		return 0, false
 	}
 	l.schedule.scoredWorkers++
-	return l.score(w, r.job, step, l.interference.imageIDOf(step.Image))
+	return l.score(w, f.job, f.step, l.interference.imageIDOf(f.step.Image))
 }
 
 // best returns the best worker for a task, or nil. The workers to avoid are used
@@ -72,8 +70,9 @@
 func (r *ranking) best(avoid []structs.WorkerID) *worker {
 	if !r.rated {
 		r.rated = true
-		for number, id := range r.leader.workerIDs {
-			w := r.leader.workers[id]
+		l := r.filter.leader
+		for number, id := range l.workerIDs {
+			w := l.workers[id]
 			if score, ok := r.rate(w); ok {
 				r.workers = append(r.workers, ratedWorker{w, number, score})
 			}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -49,8 +48,7 @@
 
 	acks ackState // of the ends that its incarnation lists
 
-	heldFor   *job // job with a waiting persistent task that the worker is kept free for; nil: none
-	heldUntil Instant
+	kept keptRoom // for a persistent task that waits
 
 	leavesAt          Instant // of a draining worker: the earliest time at which it leaves
 	startsPausedUntil Instant
@@ -62,15 +60,6 @@
 	throttle throttleState
 }
 
-// keepFree keeps the worker free of other jobs that reserve resources there.
-func (w *worker) keepFree(j *job, d time.Duration) {
-	if w.heldForOther(j) {
-		return
-	}
-	w.heldFor, w.heldUntil = j, w.leader.state.now+d
-	w.leader.schedule.requestPassAt(w.heldUntil)
-}
-
 // applyWorkerRows applies rows of the platform's list of workers.
 func (l *leaderState) applyWorkerRows(rows []Row, all bool) {
 	if all {
