scheduler: a job moves to another shard with its progress

The second step requires workers of a kind of which the job's shard has lost its only rack; those of the other shard idle.

Cause, from the logs: after `end listed: done` of all tasks of the first step no line of these jobs follows, neither `moves to another shard` nor `start ordered`. A job moved only while nothing of it had had an effect (isUntouched), since its progress is in the partition of its shard; and room was judged by the first step and by the labels of all steps at once.

Change: a job moves whenever no run of it exists. Its row carries the progress (done tasks, failed runs, checkpoints, the next run number), and the new shard goes on from there. The mark of the move is stored first as before, so that a leader lost between the two transactions changes nothing. Rows of progress have the number of the move that they belong to, so that a job can come back and rows of an earlier stay are ignored. Room and label are those of a step whose turn has come; after 1.2 s room for one of its tasks is enough, and shards that have had the job come into question. Labels of lost and draining workers are not told, and a load tells the largest free piece. A repeated job that is not due no longer moves. Run numbers of a later leader begin above those of the former shard.

--- a/core/scheduler/commititems.go
+++ b/core/scheduler/commititems.go
@@ -64,7 +64,8 @@
 	l.takeProgress(&list)
 	l.takePressures(&list)
 	for n := 0; n < maxRemovals && len(c.removedProgress) > 0; n++ {
-		if !list.add(commitItem{kind: itemRemoval, write: Write{TableProgress, partition, c.removedProgress[0], nil}}) {
+		key := c.removedProgress[0]
+		if !l.writesProgress(key) && !list.add(commitItem{kind: itemRemoval, write: Write{TableProgress, partition, key, nil}}) {
 			break
 		}
 		c.removedProgress = c.removedProgress[1:]
@@ -72,6 +73,20 @@
 	return list.items
 }
 
+// writesProgress reports whether a row of progress that was to be removed belongs to a job
+// that has come back to the shard, which removes it later.
+func (l *leaderState) writesProgress(key string) bool {
+	id, further := jobOfProgressGroup(key)
+	j := l.jobs[id]
+	if j == nil {
+		return false
+	}
+	if group, ok := groupOfKey(key); further && ok {
+		j.markGroupStored(group)
+	}
+	return true
+}
+
 // takePressures adds the learned pressures from time to time.
 func (l *leaderState) takePressures(list *itemList) {
 	if !l.isLoaded() || l.pressuresRejected || l.state.now-l.pressuresWrittenAt < pressuresInterval {
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -18,6 +18,7 @@
 	id              structs.WorkerID
 	address         string
 	rack            string
+	labels          []string // besides "a" and the rack
 	capacity        structs.Resources
 	alive           bool
 	disconnected    bool          // commands do not reach it and answers are lost
@@ -146,7 +147,7 @@
 
 // writeEntry writes the worker's entry into the list of workers.
 func (f *fakeWorker) writeEntry(draining bool) {
-	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: []string{"a", f.rack}, Rack: f.rack, Incarnation: f.incarnation}
+	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: append([]string{"a", f.rack}, f.labels...), Rack: f.rack, Incarnation: f.incarnation}
 	if draining {
 		e.LeavesIn = 2 * time.Second
 	}
@@ -162,7 +163,7 @@
 	f.crash()
 	f.sim.store.set(TableWorkers, string(f.id), nil)
 	replacement := f.sim.addWorker(fmt.Sprintf("n%02d", len(f.sim.workers)))
-	replacement.rack = "rack of " + string(replacement.id)
+	replacement.rack, replacement.labels = "rack of "+string(replacement.id), f.labels
 	replacement.writeEntry(false)
 }
 
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -14,6 +14,9 @@
 // a worker's lease, a leader's lease, and the work.
 const recoveryLimit = 40 * time.Second
 
+// labelKinds are the kinds of workers. With two shards, each has workers of one kind.
+var labelKinds = []string{"k0", "k1"}
+
 // TestSchedulerInvariants guards against violations of the oracle's invariants and
 // accepted jobs that never end, when hosts are killed or frozen, the store is
 // unreachable or performs commits late, and workers crash, are disconnected or carry
@@ -38,7 +41,9 @@
 		startOutcomes := rapid.SampledFrom([]startOutcome{startAnswered, startAnswered, startAnswered, startUnanswered, startLost, startLate})
 		commitOutcomes := rapid.SampledFrom([]int{commitAnswered, commitAnswered, commitAnswered, commitUnanswered, commitLate})
 		faulty := true
-		for _, id := range []structs.WorkerID{"w00", "w01", "w02", "w03"} {
+		for i, id := range []structs.WorkerID{"w00", "w01", "w02", "w03"} {
+			sim.workers[id].labels = []string{labelKinds[i/2]}
+			sim.workers[id].writeEntry(false)
 			sim.workers[id].onStart = func(StartTask) startOutcome {
 				if !faulty {
 					return startAnswered
@@ -67,6 +72,11 @@
 					persistent[id] = sim.submit(h, id, job)
 					break
 				}
+				if rapid.IntRange(0, 2).Draw(rt, "labels") == 0 {
+					labels := rapid.SliceOfN(rapid.SampledFrom(labelKinds), 2, 4).Draw(rt, "labels of steps")
+					requests[sim.submit(h, id, chainJob(work/4, rapid.IntRange(1, 3).Draw(rt, "tasks"), labels...))] = id
+					break
+				}
 				requests[sim.submit(h, id, singleStepJob(rapid.IntRange(1, 5).Draw(rt, "tasks"), work, rapid.SampledFrom([]int64{1000, 3000}).Draw(rt, "processors")))] = id
 			case 3:
 				h.kill()
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -254,18 +254,18 @@
 
 func (l *leaderState) addJob(row structs.Job, version structs.Version) {
 	if j := l.jobs[row.ID]; j != nil {
-		if ShardID(row.Shard) != l.shard && j.Part == nil {
-			// Another shard has the job now. Its mark of the move is stored.
-			l.forgetMoved(j)
+		if j.Part != nil || row.Moves < j.Moves || row.Moves == j.Moves && ShardID(row.Shard) == l.shard {
+			return
 		}
-		return
+		// Another shard has the job now, or has had it since. The mark of the move is stored.
+		l.forgetMoved(j)
 	}
 	if ShardID(row.Shard) != l.shard {
 		return
 	}
 	j := newJob(row, l.state.now)
 	j.rowVersion, j.cancelled = version, l.cancelled[row.ID]
-	if j.beforeTakeover = version <= l.leaderVersion; j.beforeTakeover || len(row.MovedFrom) > 0 {
+	if j.beforeTakeover = version <= l.leaderVersion; j.beforeTakeover || row.Moves > 0 {
 		age := time.Duration(l.state.wall-row.SubmittedMS) * time.Millisecond
 		j.submittedAt -= min(max(age, 0), maxJobAge)
 	}
@@ -282,9 +282,21 @@
 		return
 	}
 	j.admitted, j.admittedAt, j.waitingSince = true, l.state.now, l.state.now
-	if p, ok := l.loadedProgress[j.ID]; ok {
+	p, stored := l.loadedProgress[j.ID]
+	switch {
+	case stored && p.Move == j.Moves:
 		j.restore(p)
 		j.markGroupsOfFirstRow()
+	case j.Moved != nil:
+		j.restore(j.Moved.Progress)
+		j.storedState = "" // in this shard
+		j.markGroupsOfFirstRow()
+	}
+	j.Move = j.Moves
+	if j.Moved != nil {
+		for i := range j.tasks {
+			j.tasks[i].lastRun = max(j.tasks[i].lastRun, j.Moved.FirstRun-1)
+		}
 	}
 	groups := l.loadedGroups[j.ID]
 	for _, key := range slices.Sorted(maps.Keys(groups)) {
@@ -297,9 +309,10 @@
 		return
 	}
 	if j.inherited {
-		// Former leaders have used lower run numbers only.
+		// Former leaders have used lower run numbers only: those of this shard began
+		// with what the former shard of the task had used.
 		for i := range j.tasks {
-			j.tasks[i].lastRun = max(j.tasks[i].lastRun, structs.Run(l.epoch-1)*runsPerEpoch)
+			j.tasks[i].lastRun += structs.Run(l.epoch-1) * runsPerEpoch
 		}
 	}
 	policy := l.state.config.policyOf(&j.Job)
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -97,6 +97,11 @@
 	return inUse && answers && stored && !w.startsHeldForAck()
 }
 
+// inService reports whether the worker is expected to accept starts, at present or soon.
+func (w *worker) inService() bool {
+	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.failedSyncs == 0
+}
+
 // withinStepLimit reports whether one more task of a step may run on the worker
 // within the step's limit per worker.
 func (w *worker) withinStepLimit(of stepKey, step *structs.Step) bool {
@@ -180,7 +185,7 @@
 func (l *leaderState) pickGang(j *job, occurrence, stepIndex int) []*worker {
 	step := &j.Steps[stepIndex]
 	if step.SameRack {
-		for _, label := range l.workerLabels() {
+		for _, label := range l.workerLabels((*worker).acceptsStarts) {
 			if workers := l.packGang(j, occurrence, stepIndex, label); workers != nil {
 				return workers
 			}
@@ -189,12 +194,16 @@
 	return l.packGang(j, occurrence, stepIndex, "")
 }
 
-// workerLabels returns the distinct labels of all workers, which are their kinds
-// and racks, sorted.
-func (l *leaderState) workerLabels() []string {
+// workerLabels returns the distinct labels of the workers that a condition holds for,
+// which are their kinds and racks, sorted.
+func (l *leaderState) workerLabels(holds func(*worker) bool) []string {
 	var labels []string
 	for _, id := range l.workerIDs {
-		for _, label := range l.workers[id].entry.Labels {
+		w := l.workers[id]
+		if !holds(w) {
+			continue
+		}
+		for _, label := range w.entry.Labels {
 			if !slices.Contains(labels, label) {
 				labels = append(labels, label)
 			}
--- a/core/scheduler/progress.go
+++ b/core/scheduler/progress.go
@@ -44,6 +44,13 @@
 	return further
 }
 
+// groupOfKey returns the number of the group in the key of a further row of progress.
+func groupOfKey(key string) (int, bool) {
+	_, number, _ := strings.Cut(key, progressGroupMark)
+	group, err := strconv.Atoi(number)
+	return group, err == nil
+}
+
 // firstRow returns the first row of the job's progress. The slices and maps are copies,
 // because the effect that carries them may be executed after later changes.
 func (j *job) firstRow() ProgressRow {
@@ -54,7 +61,7 @@
 
 // groupRow returns a further row of the job's progress.
 func (j *job) groupRow(group int) ProgressGroupRow {
-	row := ProgressGroupRow{Failures: inGroup(j.Failures, group), Checkpoints: inGroup(j.Checkpoints, group)}
+	row := ProgressGroupRow{Move: j.Move, Failures: inGroup(j.Failures, group), Checkpoints: inGroup(j.Checkpoints, group)}
 	for task, runs := range row.Failures {
 		row.Failures[task] = slices.Clone(runs)
 	}
@@ -113,15 +120,15 @@
 	j.storedGroups[group] = true
 }
 
-// restoreGroup adds a further row of the progress that a former leader stored.
+// restoreGroup adds a further row of the progress that a former leader stored. A row of an
+// earlier stay of the job in the shard is only known to exist.
 func (j *job) restoreGroup(key string, row ProgressGroupRow) {
-	_, number, _ := strings.Cut(key, progressGroupMark)
-	group, err := strconv.Atoi(number)
-	if err != nil {
+	group, ok := groupOfKey(key)
+	if !ok {
 		return
 	}
 	j.markGroupStored(group)
-	if j.State.Final() {
+	if j.State.Final() || row.Move != j.Move {
 		return
 	}
 	for _, task := range slices.Sorted(maps.Keys(row.Failures)) {
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -226,7 +226,11 @@
 			return
 		}
 		s.findProgress(r, ShardID(row.Shard), again, func(state structs.JobState) {
-			if state == "" {
+			switch {
+			case state != "":
+			case row.Moved != nil && row.Moved.State != "":
+				state = row.Moved.State // its new shard has stored nothing yet
+			default:
 				state = structs.JobQueued
 			}
 			found(state)
--- a/core/scheduler/route.go
+++ b/core/scheduler/route.go
@@ -68,7 +68,7 @@
 // job require and, if asked, the racks with its data.
 func (load *ShardLoadRow) hasLabels(j *structs.Job, dataRacks bool) bool {
 	for _, step := range j.Steps {
-		if step.Label != "" && !slices.Contains(load.Labels, step.Label) {
+		if !load.hasLabel(step.Label) {
 			return false
 		}
 		if dataRacks && step.DataRack != "" && !slices.Contains(load.Labels, step.DataRack) {
@@ -78,9 +78,14 @@
 	return true
 }
 
+// hasLabel reports whether a worker of the shard has a label; all have the empty one.
+func (load *ShardLoadRow) hasLabel(label string) bool {
+	return label == "" || slices.Contains(load.Labels, label)
+}
+
 // room returns how much room a shard has left for a job once the tasks of its first
 // step run.
 func (v *shardView) room(id ShardID, j *structs.Job, service string) int64 {
 	load := v.loads[id].Services[service]
-	return load.roomFor(&j.Steps[0])
+	return load.roomFor(&j.Steps[0], j.Steps[0].Count)
 }
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -108,6 +108,7 @@
 
 // ProgressGroupRow is a further row of the progress of a job with many tasks.
 type ProgressGroupRow struct {
+	Move        int                   `json:"move,omitempty"`        // as in structs.Progress
 	Failures    map[int][]structs.Run `json:"failures,omitempty"`    // as in structs.Progress
 	Checkpoints map[int]string        `json:"checkpoints,omitempty"` // as in structs.Progress
 }
@@ -209,6 +210,9 @@
 	// room on single workers, less what waiting tasks would take.
 	Slots          [len(slotSizes)]int64 `json:"slots"`
 	IdleMilliCores int64                 `json:"idle"` // expected to be idle, less what waiting best-effort tasks request
+	// LargestMilliCores is the most that is free on a single worker, less what waiting tasks
+	// request. It tells of room for a task that lies between two of slotSizes.
+	LargestMilliCores int64 `json:"largest,omitempty"`
 }
 
 // slotSizes are the reservations, in thousandths of a processor, for which the load of
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -35,7 +35,7 @@
 	shardNumberBytes  = 4
 	jobFrame          = 640 // job with its policy and repetition, besides its texts and steps
 	loadFrame         = 512
-	serviceLoadBytes  = 64 + (len(slotSizes)+1)*numberBytes
+	serviceLoadBytes  = 80 + (len(slotSizes)+2)*numberBytes
 	pressureFrame     = 64 + 2*numberBytes
 	textFrame         = 4 // quotes, colon and comma
 	rackEntryFrame    = textFrame + shardNumberBytes
@@ -90,6 +90,9 @@
 	if j.Part != nil {
 		n += partBytes(j.Part)
 	}
+	if j.Moved != nil {
+		n += progressBytes(&j.Moved.Progress)
+	}
 	return n
 }
 
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -159,10 +159,7 @@
 // occurrenceDue reports whether an occurrence may start. If not, it requests a
 // pass for the time at which it may.
 func (l *leaderState) occurrenceDue(j *job, occurrence int) bool {
-	if j.Repeat == nil {
-		return true
-	}
-	wait := j.Repeat.FirstMS + int64(occurrence)*j.Repeat.EveryMS - l.state.wall
+	wait := l.untilDueMS(j, occurrence)
 	if wait <= 0 {
 		return true
 	}
@@ -170,6 +167,15 @@
 	return false
 }
 
+// untilDueMS returns in how many milliseconds an occurrence is due: 0 or less once it is,
+// and for a job that does not repeat.
+func (l *leaderState) untilDueMS(j *job, occurrence int) int64 {
+	if j.Repeat == nil {
+		return 0
+	}
+	return j.Repeat.FirstMS + int64(occurrence)*j.Repeat.EveryMS - l.state.wall
+}
+
 // stepReady reports whether all steps that a step depends on are done.
 func (j *job) stepReady(occurrence, step int) bool {
 	for _, a := range j.Steps[step].After {
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -139,7 +139,7 @@
 	row := ShardLoadRow{
 		Host: s.self.Host, Epoch: l.epoch, Processors: s.self.Processors, Strongest: s.shards.strongest, Leads: len(s.leaders), AtMS: l.storeNow(),
 		Shards:       s.shards.count(),
-		QueueLengths: make(map[string]int), Services: make(map[string]ServiceLoad), Labels: l.workerLabels(),
+		QueueLengths: make(map[string]int), Services: make(map[string]ServiceLoad), Labels: l.workerLabels((*worker).inService),
 	}
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
@@ -208,6 +208,7 @@
 	for i, size := range slotSizes {
 		load.Slots[i] += free / size
 	}
+	load.LargestMilliCores = max(load.LargestMilliCores, free)
 	load.IdleMilliCores += max(w.idleMilliCores(), 0)
 }
 
@@ -218,6 +219,7 @@
 	if step.BestEffort {
 		return
 	}
+	load.LargestMilliCores -= amount
 	for i, size := range slotSizes {
 		load.Slots[i] -= (amount + size - 1) / size
 	}
@@ -225,19 +227,21 @@
 
 // slots returns how many tasks of a step find room on single workers.
 func (load *ServiceLoad) slots(step *structs.Step) int64 {
-	for i, size := range slotSizes {
-		if step.Request.MilliCores <= size {
-			return load.Slots[i]
-		}
+	slots := int64(0) // larger than any size that the load tells
+	if i := slices.IndexFunc(slotSizes[:], func(size int64) bool { return step.Request.MilliCores <= size }); i >= 0 {
+		slots = load.Slots[i]
+	}
+	if slots == 0 && step.Request.MilliCores <= load.LargestMilliCores {
+		return 1
 	}
-	return 0 // larger than any size that the load tells
+	return slots
 }
 
-// roomFor returns how much room is left once the tasks of a step run: in tasks or, for
+// roomFor returns how much room is left once some tasks of a step run: in tasks or, for
 // best-effort tasks, in thousandths of a processor. It is negative if they do not fit.
-func (load *ServiceLoad) roomFor(step *structs.Step) int64 {
+func (load *ServiceLoad) roomFor(step *structs.Step, tasks int) int64 {
 	if step.BestEffort {
-		return load.IdleMilliCores - int64(step.Count)*step.Request.MilliCores
+		return load.IdleMilliCores - int64(tasks)*step.Request.MilliCores
 	}
-	return load.slots(step) - int64(step.Count)
+	return load.slots(step) - int64(tasks)
 }
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -37,12 +37,22 @@
 	Repeat      *Repeat `json:"repeat,omitempty"`
 	SubmittedMS int64   `json:"wall"`                 // submission time at the accepting host, Unix milliseconds
 	Shard       int     `json:"shard,omitempty"`      // shard that schedules it
-	MovedFrom   []int   `json:"moved_from,omitempty"` // shards that scheduled it before and started none of its tasks
+	Moves       int     `json:"moves,omitempty"`      // how often it has moved between shards
+	MovedFrom   []int   `json:"moved_from,omitempty"` // shards that had no room for it since its last progress
+	// Moved is the progress of the job when it moved last; nil: none of its tasks had run.
+	Moved *MovedProgress `json:"moved,omitempty"`
 	// Part is set in a row that gives tasks of the job to the shard; nil: the row is
 	// the job itself.
 	Part *JobPart `json:"part,omitempty"`
 }
 
+// MovedProgress is the progress of a job that moves to another shard. No run of the job
+// exists then.
+type MovedProgress struct {
+	Progress
+	FirstRun Run `json:"first_run,omitempty"` // above the numbers of all runs so far
+}
+
 // JobPart is a set of tasks of a persistent job that one shard has given to another.
 type JobPart struct {
 	Key      string `json:"key"`                 // of its row
@@ -145,6 +155,9 @@
 	Done        []byte         `json:"done,omitempty"`        // bitmap of the tasks that ended with success
 	Failures    map[int][]Run  `json:"failures,omitempty"`    // distinct failed runs by task
 	Checkpoints map[int]string `json:"checkpoints,omitempty"` // object names by task, for tasks that are not done
+	// Move is the number of the move that brought the job to the shard. Rows of an earlier
+	// stay of the job in the shard are obsolete.
+	Move int `json:"move,omitempty"`
 	// Moving is set when the shard gives the job to the shard MovingTo. It never
 	// starts tasks of the job from then on.
 	Moving   bool `json:"moving,omitempty"`
