scheduler: persistent tasks that had worked do not isolate their worker, and a quarter is isolated at most

Cause, from the leader's log: 51 `worker: isolated` in 105 s for four workers, from 3 s to 20 s each, often all four at once, and again every 2 s on a worker that was isolated. Failures of persistent tasks counted against their worker, and only an end with success cleared it, which such tasks never have; runs that failed during an isolation prolonged it; and nothing limited how many workers were isolated.

Change: a run of a persistent task that has worked for 2 s clears its worker of failures of such tasks, and its own later failure does not count. Failures during an isolation add nothing. At most a quarter of a service's workers is isolated at a time, one in a small service, and an isolated worker is still used for a step that no other worker could run. A worker that fails what it starts is found as before, since runs that fail before they have worked, and finite ones, count as they did.

--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -30,7 +30,7 @@
 	w.acks = ackState{inFlight: w.acks.inFlight}
 	w.sentLeaseEnd, w.clockMS = 0, 0
 	w.throttle = throttleState{speedLimit: fullSpeed}
-	w.failStreak, w.failedJobs = 0, nil
+	w.record.failures = nil
 	w.refuseLateStarts()
 	w.syncSoon()
 }
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -25,17 +25,39 @@
 	step   *structs.Step
 	policy *structs.Policy
 
-	yields        bool // tasks leave room that is kept for other jobs to them
-	yieldsDecided bool
+	yields        decision // whether tasks leave room that is kept for other jobs to them
+	avoidsFailing decision // whether tasks leave out workers in quarantine
+}
+
+// decision is a lazily made decision.
+type decision struct{ made, yes bool }
+
+// get returns the decision, and makes it at the first call.
+func (d *decision) get(decide func() bool) bool {
+	if !d.made {
+		d.made, d.yes = true, decide()
+	}
+	return d.yes
 }
 
 func (l *leaderState) newStepFilter(j *job, key stepKey) *stepFilter {
 	return &stepFilter{leader: l, job: j, key: key, step: &j.Steps[key.step], policy: l.state.config.policyOf(&j.Job)}
 }
 
+// matches reports whether a worker accepts starts and has what the step requires.
+func (f *stepFilter) matches(w *worker) bool {
+	return w.entry.Service == f.policy.Service && w.acceptsStarts() && w.hasLabel(f.step.Label)
+}
+
 // suits reports whether a task may be started on a worker when it has room.
 func (f *stepFilter) suits(w *worker) bool {
-	return w.entry.Service == f.policy.Service && w.acceptsStarts() && w.hasLabel(f.step.Label)
+	return f.matches(w) && !(w.quarantined() && f.avoidsQuarantined())
+}
+
+// avoidsQuarantined reports whether tasks of the step are kept from workers in quarantine.
+// They are while another worker could run them.
+func (f *stepFilter) avoidsQuarantined() bool {
+	return f.avoidsFailing.get(func() bool { return f.runsOnAny(func(*worker) bool { return true }) })
 }
 
 // hasRoom reports whether what a task reserves is free on a worker.
@@ -60,15 +82,9 @@
 // job. They do only while another worker could run them. A persistent task that waits as
 // long as the other one does not yield to it.
 func (f *stepFilter) yieldsKeptRoom() bool {
-	if f.yieldsDecided {
-		return f.yields
-	}
-	f.yieldsDecided = true
-	f.yields = !f.waitsAsPersistent() && slices.ContainsFunc(f.leader.workerIDs, func(id structs.WorkerID) bool {
-		w := f.leader.workers[id]
-		return !w.keepsRoomFrom(f.job, f.step) && f.couldRun(w)
+	return f.yields.get(func() bool {
+		return !f.waitsAsPersistent() && f.runsOnAny(func(w *worker) bool { return !w.keepsRoomFrom(f.job, f.step) })
 	})
-	return f.yields
 }
 
 // waitsAsPersistent reports whether the step is persistent and has waited for so long
@@ -77,10 +93,14 @@
 	return f.step.Persistent && f.leader.state.now-f.job.waitingSince >= holdDelay
 }
 
-// couldRun reports whether a worker could run a task of the step if nothing else ran there.
-func (f *stepFilter) couldRun(w *worker) bool {
-	return f.suits(w) && reservation(f.step).Fits(w.entry.Capacity) && w.withinStepLimit(f.key, f.step) &&
-		f.leader.adviceAllows(w, f.key, f.policy)
+// runsOnAny reports whether a worker that a condition holds for could run a task of the step if
+// nothing else ran there. Workers in quarantine do not count.
+func (f *stepFilter) runsOnAny(holds func(*worker) bool) bool {
+	return slices.ContainsFunc(f.leader.workerIDs, func(id structs.WorkerID) bool {
+		w := f.leader.workers[id]
+		return f.matches(w) && !w.quarantined() && holds(w) && reservation(f.step).Fits(w.entry.Capacity) &&
+			w.withinStepLimit(f.key, f.step) && f.leader.adviceAllows(w, f.key, f.policy)
+	})
 }
 
 // hasLabel reports whether the worker has a label; all workers have the empty one.
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -30,6 +30,7 @@
 		}
 		r.percent, r.gauge = a.Percent, a.Gauge
 		trackSince(&r.readySince, r.step.Persistent && r.percent == fullSpeed, l.state.now)
+		w.recordWorking(r)
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
 		}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -44,6 +44,7 @@
 	progressedAt     Instant // when percent last changed
 	gauge            int64   // last reading: tail latency in milliseconds of a serving task, else millicores in use
 	readySince       Instant // since when a persistent task has started up; 0: it has not
+	proven           bool    // a persistent task has worked for provenTime
 	speedLimitSetAt  Instant // when the speed limit last changed
 	speedLimit       int     // percent, as last sent
 	throttleInFlight bool
@@ -292,7 +293,7 @@
 		w.recordSuccess()
 		l.runDone(j, e.Task)
 	case structs.EndFailed:
-		w.recordFailure(j.ID)
+		w.recordFailure(j, e.Task, r)
 		l.taskFailed(j, e.Task, e.Run, w)
 	default:
 		l.recordCheckpoint(j, e.Task, e.Checkpoint)
--- a/core/scheduler/throttle.go
+++ b/core/scheduler/throttle.go
@@ -182,9 +182,9 @@
 			continue
 		}
 		w.leader.moveRun(r, "no progress")
-		w.stalls++
-		if w.stalls >= 2 {
-			w.stalls = 0
+		w.record.stalls++
+		if w.record.stalls >= 2 {
+			w.record.stalls = 0
 			w.quarantine("runs make no progress")
 		}
 	}
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -52,10 +52,8 @@
 
 	leavesAt          Instant // of a draining worker: the earliest time at which it leaves
 	startsPausedUntil Instant
-	failStreak        int
-	failedJobs        []structs.JobID
-	quarantines       int
-	stalls            int
+	quarantinedUntil  Instant
+	record            failureRecord
 
 	throttle throttleState
 }
