transport: a request that times out closes the idle connections to its peer

Cause: the client keeps up to six connections to each worker. A request that times out closes its own, and the next one takes another of the silent ones; a sync takes 1.2 s to fail and comes again after 0.3 s, so that four idle connections outlast the lease. Log: `does not answer` for all four workers at the same time, 32 `run lost` 4.4 s later, the next start 7.9 s after the first line, the same leader all the while.

Change: the transport, which all clients share, knows its open connections by peer and whether a request uses them. A request whose deadline passes closes the idle ones to its peer; connections in use and those to other peers stay, and a request that was just assigned to a closed one is sent on another. This works since the next request then opens a new connection, so that a silent peer costs one time limit.

Tests: TestSilentConnectionsCostOneRequest failed before ("the second request: context deadline exceeded"); TestTimeoutKeepsConnectionsInUse and TestClosedConnectionsAreForgotten guard what the change must not do.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -12,12 +12,15 @@
 // certainly not sent.
 var errSealed = errors.New("connection is sealed: its request was abandoned before it was sent")
 
-// trackedConn counts the bytes written to a connection.
+// trackedConn counts the bytes written to a connection, and knows whether a request uses it.
 type trackedConn struct {
 	net.Conn
+	peer    *peer // that it belongs to; nil: none
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	uses    int  // requests that it was assigned to so far
+	idle    bool // the last one has ended
 }
 
 // Write counts all bytes as written even if the write fails, since the kernel may
@@ -33,10 +36,38 @@
 	return c.Conn.Write(b)
 }
 
-func (c *trackedConn) bytesWritten() int64 {
+// Close closes the connection and forgets it.
+func (c *trackedConn) Close() error {
+	if c.peer != nil {
+		c.peer.remove(c)
+	}
+	return c.Conn.Close()
+}
+
+// beginUse records that a request was assigned to the connection. It returns the number of
+// the use and the bytes written before it.
+func (c *trackedConn) beginUse() (use int, written int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
+	c.idle = false
+	return c.uses, c.written
+}
+
+// endUse records that a use has ended. The connection may be in use again already.
+func (c *trackedConn) endUse(use int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = c.uses == use
+}
+
+// sealIfIdle forbids further writes if no request uses the connection, and reports whether
+// none does. A request that is assigned to it at the same time is sent on another one.
+func (c *trackedConn) sealIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.written
+	c.sealed = c.sealed || c.idle
+	return c.idle
 }
 
 // sealIfWritten forbids further writes if exactly n bytes have been written so
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,14 +29,20 @@
 	ioBufferBytes          = 4 << 10
 )
 
-// Transport is a shared http.Transport that tracks whether requests were sent.
-type Transport struct{ http *http.Transport }
+// Transport is a shared http.Transport that tracks whether requests were sent. Connections
+// can fall silent without a reset, several at the same time. So a request that times out also
+// closes the idle connections to its peer: each of them could cost one more request.
+type Transport struct {
+	http  *http.Transport
+	peers peers
+}
 
 // New returns a transport. It uses no proxy, HTTP/1.1 only, and does not ask
 // for compression on its own.
 func New(l Limits) *Transport {
 	dialer := &net.Dialer{Timeout: l.DialTimeout, KeepAlive: keepAlivePeriod}
-	return &Transport{http: &http.Transport{
+	t := &Transport{}
+	t.http = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if _, err := netip.ParseAddrPort(address); err != nil {
 				return nil, fmt.Errorf("address %q is not IP:port", address) // host names are never resolved
@@ -44,21 +51,32 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn}, nil
+			tracked := &trackedConn{Conn: conn}
+			t.peers.add(address, tracked)
+			return tracked, nil
 		},
 		MaxConnsPerHost: l.MaxConnsPerHost, MaxIdleConnsPerHost: l.MaxIdleConnsPerHost, IdleConnTimeout: l.IdleTimeout,
 		DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		ReadBufferSize: ioBufferBytes, WriteBufferSize: ioBufferBytes,
-	}}
+	}
+	return t
 }
 
 // CloseIdle closes the connections that are not in use.
 func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
 
+// requestFailed closes the idle connections to the peer of a request that has timed out.
+func (t *Transport) requestFailed(req *http.Request) {
+	if errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+		t.peers.closeIdle(req.URL.Host)
+	}
+}
+
 // attempt tracks one request over the connections that http.Transport assigns it.
 type attempt struct {
 	mu        sync.Mutex
 	conn      *trackedConn
+	use       int   // number of this use of conn
 	start     int64 // bytes written to conn before the request
 	maybeSent bool  // an earlier connection may have carried the request
 }
@@ -74,7 +92,17 @@
 		a.maybeSent = true
 		return
 	}
-	a.conn, a.start = conn, conn.bytesWritten()
+	a.conn = conn
+	a.use, a.start = conn.beginUse()
+}
+
+// putIdleConn is called when the response has been read and the connection is kept.
+func (a *attempt) putIdleConn(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err == nil && a.conn != nil {
+		a.conn.endUse(a.use)
+	}
 }
 
 // notSent reports whether it is certain that no byte of the request was or will be
@@ -110,11 +138,12 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, structs.Outcome, error) {
 	preventReplay(req.Header)
 	a := &attempt{}
-	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn, PutIdleConn: a.putIdleConn}
 	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		return resp, structs.OutcomeDone, nil
 	}
+	t.requestFailed(req)
 	if a.notSent() {
 		return nil, structs.OutcomeNotDone, err
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -163,3 +164,140 @@
 	}
 	return outcome
 }
+
+// silentServer answers requests until its open connections fall silent; new ones are answered.
+type silentServer struct {
+	address string
+	silent  atomic.Int64 // connections up to this number do not answer
+	opened  atomic.Int64
+	holding atomic.Int64  // requests for /hold that have arrived
+	hold    chan struct{} // closed when requests for /hold are to be answered
+}
+
+func newSilentServer(t *testing.T) *silentServer {
+	s := &silentServer{hold: make(chan struct{})}
+	s.address = serve(t, func(conn net.Conn) {
+		defer conn.Close()
+		number := s.opened.Add(1)
+		buffered := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(buffered)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/hold" {
+				s.holding.Add(1)
+				<-s.hold
+			} else if number <= s.silent.Load() {
+				_, _ = io.Copy(io.Discard, conn)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	return s
+}
+
+// get sends a request, reads the response, and returns the error of either.
+func (s *silentServer) get(tr *Transport, path string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, _, err := Endpoint{Transport: tr}.Do(ctx, "test", http.MethodPost, url.URL{Scheme: "http", Host: s.address, Path: path}, nil, []byte("x"))
+	return err
+}
+
+// awaitHeld waits until n requests for /hold have arrived.
+func (s *silentServer) awaitHeld(t *testing.T, n int64) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); s.holding.Load() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d requests have arrived, want %d", s.holding.Load(), n)
+		}
+	}
+}
+
+// silentConnections is the number of connections that fall silent at once.
+const silentConnections = 6
+
+// openConnections returns a transport with silentConnections idle connections to the server.
+func (s *silentServer) openConnections(t *testing.T) *Transport {
+	t.Helper()
+	tr := New(Limits{MaxConnsPerHost: silentConnections, MaxIdleConnsPerHost: silentConnections, IdleTimeout: time.Minute, DialTimeout: time.Second})
+	errs := make(chan error)
+	for range silentConnections {
+		go func() { errs <- s.get(tr, "/hold", 10*time.Second) }()
+	}
+	s.awaitHeld(t, silentConnections)
+	close(s.hold)
+	for range silentConnections {
+		if err := <-errs; err != nil {
+			t.Fatal(err)
+		}
+	}
+	return tr
+}
+
+// Guards against connections to a peer that fall silent together and cost a request each: the
+// request after the first one that times out has to find a connection that works.
+func TestSilentConnectionsCostOneRequest(t *testing.T) {
+	s := newSilentServer(t)
+	tr := s.openConnections(t)
+	other := newSilentServer(t)
+	close(other.hold)
+	if err := other.get(tr, "/", 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	s.silent.Store(silentConnections)
+	if err := s.get(tr, "/", 300*time.Millisecond); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if err := s.get(tr, "/", 10*time.Second); err != nil {
+		t.Errorf("the second request: %v", err)
+	}
+	if err := other.get(tr, "/", 10*time.Second); err != nil || other.opened.Load() != 1 {
+		t.Errorf("the other peer: %v, %d connections, want 1 that is kept", err, other.opened.Load())
+	}
+}
+
+// Guards against a request that is broken off because another one to the same peer timed out.
+func TestTimeoutKeepsConnectionsInUse(t *testing.T) {
+	s := newSilentServer(t)
+	tr := New(Limits{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2, IdleTimeout: time.Minute, DialTimeout: time.Second})
+	if err := s.get(tr, "/", 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	held := make(chan error)
+	go func() { held <- s.get(tr, "/hold", 10*time.Second) }() // on the first connection, which was idle
+	s.awaitHeld(t, 1)
+	s.silent.Store(2)
+	if err := s.get(tr, "/", 300*time.Millisecond); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	close(s.hold)
+	if err := <-held; err != nil {
+		t.Errorf("the request in progress: %v", err)
+	}
+}
+
+// Guards against connections that are remembered after they were closed.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	s := newSilentServer(t)
+	tr := s.openConnections(t)
+	tr.http.CloseIdleConnections()
+	remembered := func() (conns, addresses int) {
+		conns = len(tr.peers.connsTo(s.address))
+		tr.peers.mu.Lock()
+		defer tr.peers.mu.Unlock()
+		return conns, len(tr.peers.byAddress)
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		conns, addresses := remembered()
+		if conns == 0 && addresses == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections to %d addresses are remembered", conns, addresses)
+		}
+	}
+}
