scheduler: a task that was given to another shard can come back

What callers would see: a persistent task that was given to a shard with room waits for good (LOST) once that shard loses its room, although its first shard has room again. With two shards, one exchange was enough.

Cause: a task was never given to a shard that had had it, since the list of parts that a shard has given away says that it never starts them from then on.

Change: a part lists the shards that have had its tasks, so the longest list that a shard knows tells the last change; rows may be read in any order. The first shard removes the rows of parts that came back with the job.

--- a/cli/internal/trace/causes.go
+++ b/cli/internal/trace/causes.go
@@ -75,6 +75,7 @@
 	{section: sectionLate, step: "2", finding: neverStarted, cause: "no start was ordered after the job was accepted"},
 	{section: sectionLate, step: "2", part: "leader", action: "took the lead", minVersion: 2, context: true, cause: "the leader changed: between the former leader's last line and 'state read from the store' nothing is started"},
 	{section: sectionLate, step: "2", part: "job", action: "moves to another shard", cause: "the first shard had no room"},
+	{section: sectionLate, step: "2", part: "job", action: "does not move", cause: "the row of the job has no room for its progress, so that it stays in its shard"},
 	{section: sectionLate, step: "3", finding: startedLate, cause: "the first start came late: the shard had no leader, or no worker had enough free capacity"},
 	{section: sectionLate, step: "3", finding: nextRunLate, cause: "the next run of a task came late: the shard had no leader, or no worker had enough free capacity"},
 	{section: sectionLate, step: "3", part: "worker", action: "isolated", context: true, cause: "a worker was isolated, since runs of several jobs failed there"},
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -65,13 +65,13 @@
 	}
 }
 
-// rowKeys returns the keys of the rows of a job, or of its parts that this shard was
-// given.
+// rowKeys returns the keys of the rows of a job that this shard removes: of the job itself
+// in its first shard, and of the parts that this shard was given.
 func (j *job) rowKeys() []string {
 	if j.Part != nil {
 		return j.partKeys
 	}
-	return []string{string(j.ID)}
+	return append([]string{string(j.ID)}, j.partKeys...)
 }
 
 // expire removes the job row and then the other rows of the job.
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -26,6 +26,8 @@
 	moveInFlight   bool            // the job row is being given to another shard
 	writtenParts   map[string]bool // keys of the rows of given parts that this leader has written
 	partKeys       []string        // keys of the rows of parts that this shard was given
+	returns        int             // recent parts that were given back to shards that had had their tasks
+	returnedAt     Instant         // when the last of them was given
 	cancelled      bool            // a caller requested its cancellation
 	started        bool            // a run of one of its tasks has been confirmed
 	softDeadline   Instant         // time by which it should be done
@@ -57,6 +59,7 @@
 	runRemovedAt Instant // when its last run ended
 	elsewhere    bool    // another shard schedules it
 	from         []int   // shards that scheduled it before
+	stay         int     // number of shards that had scheduled it before the last change of its shard that is known
 }
 
 // retryDelay is how long a task waits after a failed run, so that a task that
@@ -184,7 +187,7 @@
 func (j *job) restore(p structs.Progress) {
 	j.Progress = cloneProgress(p)
 	for _, part := range p.Given {
-		j.setElsewhere(part.Tasks, true)
+		j.assignPart(part, true)
 	}
 	j.storedState = p.State
 	j.started = p.State != structs.JobQueued
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -9,9 +9,16 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-// divideDelay is how long a task of a persistent job waits for room before it is given
-// to another shard.
-const divideDelay = 400 * time.Millisecond
+const (
+	// divideDelay is how long a task of a persistent job waits for room before it is given
+	// to another shard.
+	divideDelay = 400 * time.Millisecond
+	// A task is given back to a shard that has had it once it has waited for revisitDelay.
+	// The delay doubles with each return, maxReturnDoublings times at most, until none has
+	// been necessary for returnMemory: each leaves a row until the job ends.
+	maxReturnDoublings = 5
+	returnMemory       = 5 * time.Minute
+)
 
 // The tasks of a persistent job do not depend on each other, and the job ends only when
 // it is cancelled, which all shards see. So single tasks can be given to other shards
@@ -19,7 +26,8 @@
 // shard lists the tasks in its progress, under its leader's lease, and then writes the
 // row of the part, which is in the partition of the job row. A new leader writes the
 // rows of all listed parts that are absent. A task is given only while no run of it
-// exists, and never to a shard that has had it.
+// exists. It may come back: the shards that have had it, which each part lists, tell which
+// of its changes is the last.
 
 // canBeDivided reports whether single tasks of a job can be given to other shards.
 func (j *job) canBeDivided() bool {
@@ -39,13 +47,17 @@
 func (l *leaderState) giveWaitingTasks(j *job, loads map[ShardID]map[string]ServiceLoad) bool {
 	step := &j.Steps[0]
 	service := l.state.config.policyOf(&j.Job).Service
-	given := false
+	given, returned := false, false
+	returns := l.state.now-j.waitingSince >= j.returnDelay(l.state.now)
 	for _, from := range l.waitingByHistory(j) {
 		target, room := ShardID(-1), int64(0)
 		for id := range ShardID(l.state.shards.count()) {
 			load, ok := loads[id][service]
 			row := l.state.shards.loads[id]
-			if slots := load.slots(step); ok && slots > room && !slices.Contains(from.shards, int(id)) && row.hasLabels(&j.Job, false) {
+			if had := slices.Contains(from.shards, int(id)); had && !returns || !row.hasLabel(step.Label) {
+				continue
+			}
+			if slots := load.slots(step); ok && slots > room {
 				target, room = id, slots
 			}
 		}
@@ -56,11 +68,25 @@
 		load := loads[target][service]
 		load.subtract(step, len(tasks))
 		loads[target][service] = load
-		given = l.giveTasks(j, target, tasks, from.shards) || given
+		if l.giveTasks(j, target, tasks, from.shards) {
+			given, returned = true, returned || slices.Contains(from.shards, int(target))
+		}
+	}
+	if returned {
+		j.returns, j.returnedAt = j.returns+1, l.state.now
 	}
 	return given
 }
 
+// returnDelay returns how long tasks of the job wait before they may be given back to a shard
+// that has had them.
+func (j *job) returnDelay(now Instant) time.Duration {
+	if now-j.returnedAt >= returnMemory {
+		j.returns = 0
+	}
+	return revisitDelay << min(j.returns, maxReturnDoublings)
+}
+
 // taskGroup is a group of waiting tasks that the same shards have had.
 type taskGroup struct {
 	shards []int
@@ -108,7 +134,7 @@
 		part.FirstRun = max(part.FirstRun, j.tasks[n].lastRun+1)
 	}
 	j.Given = append(j.Given, part)
-	j.setElsewhere(part.Tasks, true)
+	j.assignPart(part, true)
 	l.markStarted(j)
 	l.markDirty(j)
 	l.state.logDecision(Decision{Part: "job", Action: "tasks given to another shard", Subject: string(j.ID), Where: to.String(), Reason: "no room in " + l.shard.String(), Age: l.state.now - j.waitingSince, Number: uint64(len(tasks))})
@@ -134,6 +160,22 @@
 	}
 }
 
+// assignPart records that the tasks of a part are scheduled by another shard, or by this
+// one, unless they have changed their shard since.
+func (j *job) assignPart(part structs.JobPart, elsewhere bool) {
+	for _, n := range part.Tasks {
+		if n < 0 || n >= len(j.tasks) || len(part.From) < j.tasks[n].stay {
+			continue
+		}
+		t := &j.tasks[n]
+		t.stay = len(part.From)
+		j.setElsewhere([]int{n}, elsewhere)
+		if !elsewhere {
+			t.from, t.lastRun = part.From, max(t.lastRun, part.FirstRun-1)
+		}
+	}
+}
+
 // writeParts writes the rows of stored parts that this leader has not written yet.
 func (l *leaderState) writeParts(j *job, stored []structs.JobPart) {
 	for _, part := range stored {
@@ -182,21 +224,14 @@
 		}
 		l.jobs[row.ID] = j
 	}
-	if slices.Contains(j.partKeys, part.Key) || j.Part == nil || !j.canBeDivided() {
+	if slices.Contains(j.partKeys, part.Key) || !j.canBeDivided() {
 		return
 	}
 	j.partKeys = append(j.partKeys, part.Key)
 	if j.waitingTasks == 0 {
 		j.waitingSince = l.state.now
 	}
-	j.setElsewhere(part.Tasks, false)
-	for _, n := range part.Tasks {
-		if n < 0 || n >= len(j.tasks) {
-			continue
-		}
-		t := &j.tasks[n]
-		t.from, t.lastRun = part.From, max(t.lastRun, part.FirstRun-1)
-	}
+	j.assignPart(*part, false)
 	if l.isLoaded() {
 		l.admit(j)
 		l.schedule.requestPass()
--- a/core/scheduler/parts_test.go
+++ b/core/scheduler/parts_test.go
@@ -107,6 +107,60 @@
 	}
 }
 
+// TestGivenTaskComesBack guards against a task that waits for good in a shard that has lost its
+// room, while the shard that gave the task away has room again; also when leaders are lost on
+// the way. Each shard loses and regains its workers in turn.
+func TestGivenTaskComesBack(t *testing.T) {
+	for name, loseLeaders := range map[string]bool{"leaders stay": false, "leaders are lost": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newShardedSimulation(t, 3, 4, 2)
+			sim.waitForLeader()
+			sim.advance(time.Second)
+			sim.addJob(jobA, persistentJob(2, 4000), 0)
+			sim.waitFor(startLimit, "the start of both tasks", func() bool { return sim.runningTasks(jobA) == 2 })
+			plan := sim.store.get(TableShards, KeyPlan).(ShardPlanRow)
+			for round := range 4 {
+				lost := ShardID(round % 2)
+				for _, f := range sim.workers {
+					if plan.Racks[f.rack] == lost {
+						f.crash()
+						sim.store.set(TableWorkers, string(f.id), nil)
+					} else if !f.alive {
+						f.boot()
+					}
+				}
+				if loseLeaders {
+					h := sim.leaderOf(lost)
+					sim.after(maxLeaseDuration(testBounds)+revisitDelay, func() {
+						h.kill()
+						sim.after(100*time.Millisecond, h.start)
+					})
+				}
+				limit := maxLeaseDuration(testBounds) + lostLimit
+				if loseLeaders {
+					limit += leaderLease + lostLimit
+				}
+				sim.waitFor(limit, fmt.Sprintf("the start in the other shard, round %d", round), func() bool { return sim.runningTasks(jobA) == 2 })
+				sim.advance(time.Second)
+			}
+			for _, f := range sim.workers {
+				if !f.alive {
+					f.boot()
+				}
+			}
+			req := sim.request(sim.hosts[1], RequestCancel, "/q/"+jobA)
+			sim.waitFor(time.Second, "confirmation", func() bool { return sim.answers[req].Status == AnswerOK })
+			sim.waitFor(2*time.Second, "the end of the runs", func() bool { return sim.runningTasks(jobA) == 0 })
+			sim.advance(testBounds.FinalStateRetention + 2*keepStateMargin)
+			for id := range sim.store.rows {
+				if (id.table == TableJobs || id.table == TableProgress) && (id.key == jobA || isPartKey(id.key, jobA)) {
+					t.Errorf("row %v was not removed", id)
+				}
+			}
+		})
+	}
+}
+
 // TestFullShardKeepsRoomOfFailedTask guards against a persistent task whose room is taken
 // by other tasks while it waits for its retry.
 func TestFullShardKeepsRoomOfFailedTask(t *testing.T) {
