scheduler: room that is kept for a job is used by it

What callers would see: a persistent task waits for as long as finite tasks of a more urgent queue that request as much do, although a worker is kept free for it; the room of a task that failed goes to one of them.

Cause: what no worker can take in a pass counts as not placeable for all tasks with the same request. A task that found no room because it was kept for another one so kept the other one from it too.

Change: a job that room is kept for, and a persistent step that has waited, are asked for on their own.

--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -60,6 +60,12 @@
 	return !taken.Add(w.kept.need).Add(reservation(step)).Fits(w.entry.Capacity)
 }
 
+// waitsAsPersistent reports whether a step is persistent and has waited for so long that
+// workers are kept free for it.
+func (j *job) waitsAsPersistent(step *structs.Step, now Instant) bool {
+	return step.Persistent && now-j.waitingSince >= holdDelay
+}
+
 // keepRoom keeps room on the worker for a task, unless it is kept for another job.
 func (w *worker) keepRoom(room keptRoom, d time.Duration) {
 	if w.keepsRoom() && w.kept.job != room.job {
@@ -68,6 +74,7 @@
 	room.since = w.leader.state.now
 	room.until = room.since + d
 	w.kept = room
+	room.job.roomKeptUntil = max(room.job.roomKeptUntil, room.until)
 	w.leader.schedule.requestPassAt(room.until)
 }
 
@@ -75,7 +82,7 @@
 // holdDelay, if the end of finite tasks makes enough room there.
 func (l *leaderState) holdWorkers(j *job, ref structs.TaskRef) {
 	step := &j.Steps[ref.Step]
-	if !step.Persistent || l.state.now-j.waitingSince < holdDelay {
+	if !j.waitsAsPersistent(step, l.state.now) {
 		return
 	}
 	f := l.newStepFilter(j, stepKeyOf(ref))
--- a/core/scheduler/hold_test.go
+++ b/core/scheduler/hold_test.go
@@ -33,6 +33,34 @@
 	sim.waitFor(lostLimit, "the start of the large task", func() bool { return sim.runningTasks(jobA) == 1 })
 }
 
+// TestKeptRoomIsUsedByItsJob guards against room that is kept for a persistent task and never used by
+// it: finite tasks of another queue that request as much come first, and what they did not find
+// counts as not there for all tasks that request as much.
+func TestKeptRoomIsUsedByItsJob(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	urgent := structs.Policy{Service: serviceName, Attempts: 3, Stretch: 2, Slack: time.Second}
+	other := urgent
+	other.Priority = 1
+	sim.store.set(TableOperator, KeyConfiguration, ConfigurationRow{structs.QueueConfiguration{
+		Number: 2, Queues: []structs.Queue{
+			{Name: queueName, Host: "h", PathPrefix: "/q/", Policy: urgent},
+			{Name: advisedQueueName, Host: "h", PathPrefix: "/a/", Policy: other},
+		},
+	}})
+	sim.waitForLeader()
+	sim.advance(time.Second)
+	for i := range 60 { // 15 s of work
+		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", 0x1000+i), singleStepJob(1, time.Second, 7000))
+	}
+	sim.submitAdvised(jobA, persistentJob(1, 7000))
+	sim.waitFor(lostLimit, "the start of the persistent task", func() bool { return sim.runningTasks(jobA) == 1 })
+	f := sim.workerRunning(structs.TaskRef{Job: jobA})
+	for _, r := range f.sortedRuns() {
+		f.endRun(r, structs.EndFailed, "")
+	}
+	sim.waitFor(time.Second, "its next run", func() bool { return sim.runningTasks(jobA) == 1 })
+}
+
 // startLimit is how long a job may wait for its first run while half of the service is free.
 const startLimit = 3 * time.Second
 
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -42,6 +42,7 @@
 	waitingSince       Instant // since when one of its tasks has waited for a run
 	activeRuns         int     // number of runs that occupy workers
 	lastRunEndedAt     Instant // when the last run ended
+	roomKeptUntil      Instant // until when room is kept for it on a worker
 
 	loads []*load // of serving steps, by occurrence and step
 
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -87,10 +87,9 @@
 	})
 }
 
-// waitsAsPersistent reports whether the step is persistent and has waited for so long
-// that workers are kept free for it.
+// waitsAsPersistent reports whether workers are kept free for tasks of the step.
 func (f *stepFilter) waitsAsPersistent() bool {
-	return f.step.Persistent && f.leader.state.now-f.job.waitingSince >= holdDelay
+	return f.job.waitsAsPersistent(f.step, f.leader.state.now)
 }
 
 // runsOnAny reports whether a worker that a condition holds for could run a task of the step if
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -233,6 +233,8 @@
 	service, label      string
 	image               string // of a best-effort task
 	bestEffort, starved bool
+	waitsAsPersistent   bool          // it does not yield room that is kept for others
+	keptFor             structs.JobID // job that room is kept for; empty: not kept for its job
 }
 
 func (l *leaderState) demandOf(j *job, step int) demand {
@@ -241,6 +243,10 @@
 	if s.BestEffort {
 		d.image, d.starved = s.Image, j.starved(l.state.now)
 	}
+	d.waitsAsPersistent = j.waitsAsPersistent(s, l.state.now)
+	if l.state.now < j.roomKeptUntil {
+		d.keptFor = j.ID
+	}
 	return d
 }
 
