--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -35,7 +35,7 @@
 	need       structs.Resources // of one of its tasks
 	since      Instant
 	until      Instant
-	forRestart bool // the room is there already; otherwise finite runs that were started before since end first
+	forRestart bool // it is free already; otherwise finite runs that were started before since have to end first
 }
 
 // keepsRoom reports whether room on the worker is kept for a job now.
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -60,7 +60,7 @@
 	runRemovedAt Instant // when its last run ended
 	elsewhere    bool    // another shard schedules it
 	from         []int   // shards that scheduled it before
-	stay         int     // number of shards that had scheduled it before the last change of its shard that is known
+	shardChanges int     // how often it has changed its shard, as far as this leader knows
 }
 
 // retryDelay is how long a task waits after a failed run, so that a task that
--- a/core/scheduler/moving_test.go
+++ b/core/scheduler/moving_test.go
@@ -41,9 +41,9 @@
 	return sim, h, j
 }
 
-// storedProgress returns the progress of the job in shard 0 as the store has it.
-func (sim *simulation) storedProgress() ProgressRow {
-	p, _ := sim.store.rows[fakeRowID{TableProgress, ShardID(0).partition(), jobB}].Value.(ProgressRow)
+// storedProgress returns the progress of a job in shard 0 as the store has it.
+func (sim *simulation) storedProgress(id string) ProgressRow {
+	p, _ := sim.store.rows[fakeRowID{TableProgress, ShardID(0).partition(), id}].Value.(ProgressRow)
 	return p
 }
 
@@ -54,7 +54,7 @@
 	h.state.leaderOf(0).startMove(j, 1)
 	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
 		for _, write := range e.Writes {
-			if row, ok := write.Value.(JobRow); ok && row.Shard == 1 && !sim.storedProgress().Moving {
+			if row, ok := write.Value.(JobRow); ok && row.Shard == 1 && !sim.storedProgress(jobB).Moving {
 				t.Error("the job row names the new shard before the mark is stored")
 			}
 		}
@@ -92,7 +92,7 @@
 		for _, write := range e.Writes {
 			if row, ok := write.Value.(JobRow); ok && row.Part != nil {
 				written = true
-				if len(sim.storedProgress().Given) == 0 {
+				if len(sim.storedProgress(jobB).Given) == 0 {
 					t.Error("the part is written before the list of parts is stored")
 				}
 			}
@@ -107,10 +107,10 @@
 func TestFinalStateWaitsForStore(t *testing.T) {
 	sim, h, j := claimInFlight(t, 2, 1, time.Second, false)
 	l := h.state.leaderOf(0)
-	l.progressStored(j, sim.storedProgress().Progress)
+	l.progressStored(j, sim.storedProgress(jobB).Progress)
 	before := j.storedState
 	j.State = "completed"
-	l.progressStored(j, sim.storedProgress().Progress)
+	l.progressStored(j, sim.storedProgress(jobB).Progress)
 	if j.storedState != before {
 		t.Errorf("stored state %q, want %q", j.storedState, before)
 	}
@@ -183,7 +183,7 @@
 	}
 	limit := 2*time.Second + maxLeaseDuration(testBounds) + lostLimit // tasks of the first step are lost with the workers
 	sim.waitFor(limit, "the end of the first step", func() bool {
-		p := sim.storedProgress0(jobA)
+		p := sim.storedProgress(jobA)
 		return p.IsDone(0) && p.IsDone(1) && p.IsDone(2) && p.IsDone(3)
 	})
 	startsBefore := starts
@@ -198,12 +198,6 @@
 	}
 }
 
-// storedProgress0 returns the progress of a job that shard 0 has stored.
-func (sim *simulation) storedProgress0(id string) structs.Progress {
-	p, _ := sim.store.rows[fakeRowID{TableProgress, ShardID(0).partition(), id}].Value.(ProgressRow)
-	return p.Progress
-}
-
 // TestStepsAlternateBetweenShards guards against a job that cannot come back to a shard that it
 // has left: each of its steps needs workers that only one of the shards has.
 func TestStepsAlternateBetweenShards(t *testing.T) {
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -164,11 +164,11 @@
 // one, unless they have changed their shard since.
 func (j *job) assignPart(part structs.JobPart, elsewhere bool) {
 	for _, n := range part.Tasks {
-		if n < 0 || n >= len(j.tasks) || len(part.From) < j.tasks[n].stay {
+		if n < 0 || n >= len(j.tasks) || len(part.From) < j.tasks[n].shardChanges {
 			continue
 		}
 		t := &j.tasks[n]
-		t.stay = len(part.From)
+		t.shardChanges = len(part.From)
 		j.setElsewhere([]int{n}, elsewhere)
 		if !elsewhere {
 			t.from, t.lastRun = part.From, max(t.lastRun, part.FirstRun-1)
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -25,19 +25,19 @@
 	step   *structs.Step
 	policy *structs.Policy
 
-	yields        decision // whether tasks leave room that is kept for other jobs to them
-	avoidsFailing decision // whether tasks leave out workers in quarantine
+	yields            lazyBool // of yieldsKeptRoom
+	leavesQuarantined lazyBool // of avoidsQuarantined
 }
 
-// decision is a lazily made decision.
-type decision struct{ made, yes bool }
+// lazyBool is a condition that is evaluated when it is first needed.
+type lazyBool struct{ known, value bool }
 
-// get returns the decision, and makes it at the first call.
-func (d *decision) get(decide func() bool) bool {
-	if !d.made {
-		d.made, d.yes = true, decide()
+// get returns the condition, and evaluates it at the first call.
+func (b *lazyBool) get(evaluate func() bool) bool {
+	if !b.known {
+		b.known, b.value = true, evaluate()
 	}
-	return d.yes
+	return b.value
 }
 
 func (l *leaderState) newStepFilter(j *job, key stepKey) *stepFilter {
@@ -57,7 +57,7 @@
 // avoidsQuarantined reports whether tasks of the step are kept from workers in quarantine.
 // They are while another worker could run them.
 func (f *stepFilter) avoidsQuarantined() bool {
-	return f.avoidsFailing.get(func() bool { return f.runsOnAny(func(*worker) bool { return true }) })
+	return f.leavesQuarantined.get(func() bool { return f.runsOnAny(func(*worker) bool { return true }) })
 }
 
 // hasRoom reports whether what a task reserves is free on a worker.
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -62,7 +62,7 @@
 		err = errResponseTooLarge
 	}
 	if err != nil {
-		e.Transport.requestFailed(req)
+		e.Transport.closeIdleAfterTimeout(req)
 		return Response{}, structs.OutcomeUnknown, failed.Wrap(err)
 	}
 	return Response{Status: resp.StatusCode, Body: data}, structs.OutcomeDone, nil
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -65,8 +65,9 @@
 // CloseIdle closes the connections that are not in use.
 func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
 
-// requestFailed closes the idle connections to the peer of a request that has timed out.
-func (t *Transport) requestFailed(req *http.Request) {
+// closeIdleAfterTimeout closes the idle connections to the peer of a failed request if it has
+// timed out.
+func (t *Transport) closeIdleAfterTimeout(req *http.Request) {
 	if errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		t.peers.closeIdle(req.URL.Host)
 	}
@@ -143,7 +144,7 @@
 	if err == nil {
 		return resp, structs.OutcomeDone, nil
 	}
-	t.requestFailed(req)
+	t.closeIdleAfterTimeout(req)
 	if a.notSent() {
 		return nil, structs.OutcomeNotDone, err
 	}
