--- a/core/scheduler/moving_test.go
+++ b/core/scheduler/moving_test.go
@@ -456,3 +456,24 @@
 		return true
 	})
 }
+
+// TestFailuresOfMovedJobSurviveTakeover guards against failed runs of a job that moved which a later
+// leader of its new shard does not know, so that its tasks run more often than they may.
+func TestFailuresOfMovedJobSurviveTakeover(t *testing.T) {
+	sim := newShardedSimulation(t, 3, 4, 2)
+	sim.waitForLeader()
+	const task = tasksPerProgressRow + 5 // in a further row
+	job := singleStepJob(2*tasksPerProgressRow, time.Minute, 10)
+	job.Moves, job.MovedFrom = 1, []int{0}
+	job.Moved = &structs.MovedProgress{FirstRun: 3, Progress: structs.Progress{State: structs.JobRunning, Failures: map[int][]structs.Run{task: {1, 2}}}}
+	sim.addJob(jobA, job, 1)
+	sim.waitFor(startLimit, "the start", func() bool { return sim.runningTasks(jobA) > 0 })
+	sim.leaderOf(1).kill()
+	sim.waitFor(10*time.Second, "another leader", func() bool {
+		h := sim.leaderOf(1)
+		return h != nil && h.state.leaderOf(1).isLoaded()
+	})
+	if got := sim.leaderOf(1).state.leaderOf(1).jobs[jobA].Failures[task]; !slices.Equal(got, []structs.Run{1, 2}) {
+		t.Errorf("failed runs are %v, want [1 2]", got)
+	}
+}
