scheduler: what waits in a shard does not take the room that it cannot use

Cause: a shard tells its room less what its waiting tasks request. Two waiting tasks of 5 processors, which fitted on no worker, took 10 off the room for tasks of 1 processor, and the shard told less than none as long as they waited. A lasting task that is given to another shard met the same figure.

Change: a load also tells what is free now. A step that has waited for 1.2 s in vain may go where something is free for a task of it, since what stays free although tasks wait is of no use to those.

Test: TestRoomBesideTasksThatWait (a finite and a persistent job) failed before; two removals are noticed.

--- a/core/scheduler/moving.go
+++ b/core/scheduler/moving.go
@@ -130,13 +130,11 @@
 
 // shardWithRoom returns the shard with the most room for the waiting tasks of a step, and
 // subtracts them from its room. Once the step has waited longer, shards that have had the job
-// since its last progress come into question, and those with room for some of the tasks.
+// since its last progress come into question, and those where something is free for a task
+// although others wait.
 func (l *leaderState) shardWithRoom(j *job, step waitingStep, loads map[ShardID]map[string]ServiceLoad) (ShardID, bool) {
 	service := l.state.config.policyOf(&j.Job).Service
-	needed, revisits := step.tasks, step.waited >= j.revisitDelay()
-	if revisits && !step.Gang {
-		needed = 1
-	}
+	revisits := step.waited >= j.revisitDelay()
 	best, bestRoom := ShardID(-1), int64(0)
 	for id := range ShardID(l.state.shards.count()) {
 		load, ok := loads[id][service]
@@ -144,7 +142,8 @@
 		if !ok || !row.hasLabel(step.Label) || !revisits && slices.Contains(j.MovedFrom, int(id)) {
 			continue
 		}
-		if load.roomFor(step.Step, needed) < 0 {
+		hasRoom := load.roomFor(step.Step, step.tasks) >= 0
+		if !hasRoom && (!revisits || step.Gang || load.freeSlots(step.Step) <= 0) {
 			continue
 		}
 		if room := load.roomFor(step.Step, step.tasks); best < 0 || room > bestRoom {
@@ -155,7 +154,7 @@
 		return 0, false
 	}
 	load := loads[best][service]
-	load.subtract(step.Step, step.tasks)
+	load.assign(step.Step, step.tasks)
 	loads[best][service] = load
 	return best, true
 }
--- a/core/scheduler/moving_test.go
+++ b/core/scheduler/moving_test.go
@@ -477,3 +477,25 @@
 		t.Errorf("failed runs are %v, want [1 2]", got)
 	}
 }
+
+// TestRoomBesideTasksThatWait guards against a job that waits for good although another shard has
+// room for it, since larger tasks wait there that do not fit: what they request was taken off the
+// room that the shard tells.
+func TestRoomBesideTasksThatWait(t *testing.T) {
+	for name, persistent := range map[string]bool{"finite": false, "persistent": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newShardedSimulation(t, 2, 4, 2)
+			sim.waitForLeader()
+			sim.labelShards(func(id ShardID) []string { return []string{fmt.Sprintf("only%d", id)} }, "")
+			large := persistentJob(4, 5000) // two of them fit
+			large.Steps[0].Label = "only1"
+			sim.addJob(jobB, large, 1)
+			sim.waitFor(startLimit, "the start of two large tasks", func() bool { return sim.runningTasks(jobB) == 2 })
+			sim.advance(time.Second)
+			job := chainJob(time.Second, 2, "only1")
+			job.Steps[0].Persistent = persistent
+			sim.addJob(jobA, job, 0)
+			sim.waitFor(startLimit, "the start in the other shard", func() bool { return sim.runningTasks(jobA) == 2 })
+		})
+	}
+}
--- a/core/scheduler/parts.go
+++ b/core/scheduler/parts.go
@@ -48,7 +48,8 @@
 	step := &j.Steps[0]
 	service := l.state.config.policyOf(&j.Job).Service
 	given, returned := false, false
-	returns := l.state.now-j.waitingSince >= j.returnDelay(l.state.now)
+	waited := l.state.now - j.waitingSince
+	returns := waited >= j.returnDelay(l.state.now)
 	for _, from := range l.waitingByHistory(j) {
 		target, room := ShardID(-1), int64(0)
 		for id := range ShardID(l.state.shards.count()) {
@@ -57,7 +58,11 @@
 			if had := slices.Contains(from.shards, int(id)); had && !returns || !row.hasLabel(step.Label) {
 				continue
 			}
-			if slots := load.slots(step); ok && slots > room {
+			slots := load.slots(step)
+			if waited >= revisitDelay {
+				slots = max(slots, load.freeSlots(step))
+			}
+			if ok && slots > room {
 				target, room = id, slots
 			}
 		}
@@ -66,7 +71,7 @@
 		}
 		tasks := from.tasks[:min(int64(len(from.tasks)), room)]
 		load := loads[target][service]
-		load.subtract(step, len(tasks))
+		load.assign(step, len(tasks))
 		loads[target][service] = load
 		if l.giveTasks(j, target, tasks, from.shards) {
 			given, returned = true, returned || slices.Contains(from.shards, int(target))
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -210,8 +210,12 @@
 	// room on single workers, less what waiting tasks would take.
 	Slots          [len(slotSizes)]int64 `json:"slots"`
 	IdleMilliCores int64                 `json:"idle"` // expected to be idle, less what waiting best-effort tasks request
-	// LargestMilliCores is the most that is free on a single worker, less what waiting tasks
-	// request. It tells of room for a task that lies between two of slotSizes.
+	// Free and FreeMilliCores hold the same before waiting tasks take any. What stays free
+	// although tasks wait is of no use to those, but may be to others.
+	Free           [len(slotSizes)]int64 `json:"free"`
+	FreeMilliCores int64                 `json:"free_idle,omitempty"`
+	// LargestMilliCores is the most that is free on a single worker. It tells of room for a
+	// task that lies between two of slotSizes.
 	LargestMilliCores int64 `json:"largest,omitempty"`
 }
 
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -35,7 +35,7 @@
 	shardNumberBytes  = 4
 	jobFrame          = 640 // job with its policy and repetition, besides its texts and steps
 	loadFrame         = 512
-	serviceLoadBytes  = 80 + (len(slotSizes)+2)*numberBytes
+	serviceLoadBytes  = 128 + (2*len(slotSizes)+3)*numberBytes
 	pressureFrame     = 64 + 2*numberBytes
 	textFrame         = 4 // quotes, colon and comma
 	rackEntryFrame    = textFrame + shardNumberBytes
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -207,9 +207,11 @@
 	free := max(w.entry.Capacity.MilliCores-w.reserved.MilliCores, 0)
 	for i, size := range slotSizes {
 		load.Slots[i] += free / size
+		load.Free[i] += free / size
 	}
+	idle := max(w.idleMilliCores(), 0)
+	load.IdleMilliCores, load.FreeMilliCores = load.IdleMilliCores+idle, load.FreeMilliCores+idle
 	load.LargestMilliCores = max(load.LargestMilliCores, free)
-	load.IdleMilliCores += max(w.idleMilliCores(), 0)
 }
 
 // subtract subtracts what tasks of a step request.
@@ -219,17 +221,39 @@
 	if step.BestEffort {
 		return
 	}
-	load.LargestMilliCores -= amount
 	for i, size := range slotSizes {
 		load.Slots[i] -= (amount + size - 1) / size
 	}
 }
 
+// assign subtracts what tasks of a step request that are given to the shard.
+func (load *ServiceLoad) assign(step *structs.Step, tasks int) {
+	load.subtract(step, tasks)
+	amount := int64(tasks) * step.Request.MilliCores
+	load.FreeMilliCores -= amount
+	if step.BestEffort {
+		return
+	}
+	for i, size := range slotSizes {
+		load.Free[i] -= (amount + size - 1) / size
+	}
+}
+
 // slots returns how many tasks of a step find room on single workers.
-func (load *ServiceLoad) slots(step *structs.Step) int64 {
+func (load *ServiceLoad) slots(step *structs.Step) int64 { return load.countSlots(&load.Slots, step) }
+
+// freeSlots returns how many tasks of a step find room now, whatever waits.
+func (load *ServiceLoad) freeSlots(step *structs.Step) int64 {
+	if step.BestEffort {
+		return load.FreeMilliCores / max(step.Request.MilliCores, 1)
+	}
+	return load.countSlots(&load.Free, step)
+}
+
+func (load *ServiceLoad) countSlots(bySize *[len(slotSizes)]int64, step *structs.Step) int64 {
 	slots := int64(0) // larger than any size that the load tells
 	if i := slices.IndexFunc(slotSizes[:], func(size int64) bool { return step.Request.MilliCores <= size }); i >= 0 {
-		slots = load.Slots[i]
+		slots = bySize[i]
 	}
 	if slots == 0 && step.Request.MilliCores <= load.LargestMilliCores {
 		return 1
