ordering: waiting jobs by apparent urgency instead of by deadline

Change: a package of its own orders by priority, by whether the objective can still be met (the expected chain that is left), and then by the value per work that is left, discounted by slack. Expected run times follow the runs of a step that have ended. The job that has starved longest is promoted.

--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/ordering"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -30,7 +31,7 @@
 	returnedAt     Instant         // when the last of them was given
 	cancelled      bool            // a caller requested its cancellation
 	started        bool            // a run of one of its tasks has been confirmed
-	softDeadline   Instant         // time by which it should be done
+	runTimes       []ordering.Mean // of the runs of each step that have ended, in seconds; nil: none has
 
 	stepOffsets        []int // number of the first task of each step in an occurrence
 	tasksPerOccurrence int   // number of tasks in one occurrence
@@ -206,25 +207,6 @@
 	}
 }
 
-// criticalPath returns the declared run time of the longest chain of dependent
-// steps.
-func (j *job) criticalPath() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, step := range j.Steps {
-		for _, a := range step.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += step.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// maxObjective bounds the span from a job's acceptance to its soft deadline, so that
-// an estimate that is far too long does not overflow it.
-const maxObjective = 30 * 24 * time.Hour
-
 // maxJobAge bounds the age of a job computed from the time of day at the host that
 // accepted it, since that clock may be wrong.
 const maxJobAge = 30 * time.Second
@@ -319,8 +301,7 @@
 			j.tasks[i].lastRun += structs.Run(l.epoch-1) * runsPerEpoch
 		}
 	}
-	policy := l.state.config.policyOf(&j.Job)
-	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
+	l.order.observeJob(j)
 	l.openJobs = append(l.openJobs, j)
 	l.writeParts(j, j.Given)
 	if j.Moving {
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -53,6 +53,7 @@
 	commits            commitState
 	interference       *interferenceModel
 	schedule           scheduleState
+	order              jobOrder
 	starts             startWindow
 	advice             adviceState
 	loadInFlight       bool // a write of the load is in flight
--- /dev/null
+++ b/core/scheduler/rank.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/ordering"
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+// jobOrder holds what the order of waiting jobs depends on besides the jobs.
+type jobOrder struct {
+	works  map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
+	chains ordering.Mean             // longest chains of the admitted finite jobs, in seconds
+	ranked []rankedJob               // reused by waitingJobs
+	ends   []time.Duration           // reused by longestChain
+}
+
+// rankedJob is a waiting job with its rank in one pass.
+type rankedJob struct {
+	job  *job
+	rank ordering.Rank
+}
+
+// observeJob records the work and the chain of a job that is admitted.
+func (o *jobOrder) observeJob(j *job) {
+	if j.Persistent() {
+		return
+	}
+	if o.works == nil {
+		o.works = make(map[string]*ordering.Mean)
+	}
+	mean := o.works[j.Queue]
+	if mean == nil {
+		mean = &ordering.Mean{}
+		o.works[j.Queue] = mean
+	}
+	mean.Observe(j.totalWork())
+	o.chains.Observe(o.chain(j).Seconds())
+}
+
+// meanWork returns the mean work of the jobs of a queue, in processor-seconds.
+func (o *jobOrder) meanWork(queue string) float64 {
+	if mean := o.works[queue]; mean != nil {
+		return mean.Value()
+	}
+	return 0
+}
+
+// usualChain returns the mean of the longest chains of the jobs.
+func (o *jobOrder) usualChain() time.Duration {
+	return time.Duration(o.chains.Value() * float64(time.Second))
+}
+
+// waitingJobs returns the jobs with tasks that wait for a run, in the order in which they
+// get room.
+func (l *leaderState) waitingJobs(now Instant) []*job {
+	o := &l.order
+	o.ranked = o.ranked[:0]
+	starving := make(map[int]int) // index of the job that has starved longest, by priority
+	for _, j := range l.openJobs {
+		if j.waitingTasks == 0 || !j.schedulable() {
+			continue
+		}
+		described := l.describeForOrder(j, now)
+		if j.activeRuns == 0 && ordering.Starves(described, j.idle(now)) {
+			at, found := starving[described.Priority]
+			if !found || j.idle(now) > o.ranked[at].job.idle(now) {
+				starving[described.Priority] = len(o.ranked)
+			}
+		}
+		o.ranked = append(o.ranked, rankedJob{j, ordering.RankOf(described, o.usualChain())})
+	}
+	for _, at := range starving {
+		o.ranked[at].rank = o.ranked[at].rank.Promote()
+	}
+	slices.SortFunc(o.ranked, func(a, b rankedJob) int {
+		if c := a.rank.Compare(b.rank); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.job.ID), string(b.job.ID))
+	})
+	jobs := make([]*job, len(o.ranked))
+	for i, r := range o.ranked {
+		jobs[i] = r.job
+	}
+	return jobs
+}
+
+// idle returns how long a job without runs has had none.
+func (j *job) idle(now Instant) time.Duration { return now - max(j.submittedAt, j.lastRunEndedAt) }
+
+// describeForOrder returns what the order depends on of a waiting job.
+func (l *leaderState) describeForOrder(j *job, now Instant) ordering.Job {
+	policy := l.state.config.policyOf(&j.Job)
+	occurrence := j.firstWaitingOccurrence()
+	age := now - j.submittedAt
+	if j.Repeat != nil {
+		age = time.Duration(-l.untilDueMS(j, occurrence)) * time.Millisecond
+	}
+	return ordering.Job{
+		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.chain(j)),
+		Chain: l.order.chainLeft(j, occurrence), Work: j.waitingWork(occurrence),
+		Value: ordering.Value(j.totalWork(), l.order.meanWork(j.Queue)),
+	}
+}
+
+// firstWaitingOccurrence returns the first occurrence with tasks that wait for a run.
+func (j *job) firstWaitingOccurrence() int {
+	for occurrence, steps := range j.waitingByStep {
+		if slices.ContainsFunc(steps, func(waiting int) bool { return waiting > 0 }) {
+			return occurrence
+		}
+	}
+	return 0
+}
+
+// maxObjective bounds the objective of a job, so that an estimate that is far too long does
+// not overflow it.
+const maxObjective = 30 * 24 * time.Hour
+
+// objective returns the time from the acceptance of a job to that by which it should be
+// done, by the run time of its longest chain of steps.
+func objective(policy *structs.Policy, chain time.Duration) time.Duration {
+	return min(time.Duration(policy.Stretch*float64(min(chain, maxObjective))), maxObjective) + policy.Slack
+}
+
+// chain returns the expected run time of the longest chain of dependent steps.
+func (o *jobOrder) chain(j *job) time.Duration {
+	return o.longestChain(j, func(int) bool { return true })
+}
+
+// chainLeft returns the expected run time of the longest chain of the steps of an occurrence
+// that have tasks that wait.
+func (o *jobOrder) chainLeft(j *job, occurrence int) time.Duration {
+	waiting := j.waitingByStep[occurrence]
+	return o.longestChain(j, func(step int) bool { return waiting[step] > 0 })
+}
+
+// longestChain returns the expected run time of the longest chain of those steps that a
+// condition holds for.
+func (o *jobOrder) longestChain(j *job, counts func(step int) bool) time.Duration {
+	ends := slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
+	o.ends = ends
+	var longest time.Duration
+	for i := range j.Steps {
+		ends[i] = 0
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if counts(i) {
+			ends[i] += j.expectedRunTime(i)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// expectedRunTime returns the run time to expect of a task of a step: the mean of the runs
+// that have ended, or the declared one before the first. Tasks of a step are alike, while
+// declared run times are often wrong by a factor of two.
+func (j *job) expectedRunTime(step int) time.Duration {
+	if j.runTimes != nil && j.runTimes[step].Value() > 0 {
+		return time.Duration(j.runTimes[step].Value() * float64(time.Second))
+	}
+	return j.Steps[step].Estimate
+}
+
+// observeRunTime records how long a run of a finite task took that ended with success.
+func (j *job) observeRunTime(step int, took time.Duration) {
+	if j.runTimes == nil {
+		j.runTimes = make([]ordering.Mean, len(j.Steps))
+	}
+	j.runTimes[step].Observe(took.Seconds())
+}
+
+// totalWork returns the expected work of one occurrence of a job, in processor-seconds.
+func (j *job) totalWork() float64 {
+	var work float64
+	for i := range j.Steps {
+		work += j.stepWork(i, j.Steps[i].Count)
+	}
+	return work
+}
+
+// waitingWork returns the expected work of the tasks of an occurrence that wait.
+func (j *job) waitingWork(occurrence int) float64 {
+	var work float64
+	for i, waiting := range j.waitingByStep[occurrence] {
+		work += j.stepWork(i, waiting)
+	}
+	return work
+}
+
+// stepWork returns the expected work of some tasks of a step, in processor-seconds.
+func (j *job) stepWork(step, tasks int) float64 {
+	const milliCoresPerCore = 1000
+	cores := float64(j.Steps[step].Request.MilliCores) / milliCoresPerCore
+	return float64(tasks) * cores * j.expectedRunTime(step).Seconds()
+}
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -75,7 +75,7 @@
 	t := &j.tasks[n]
 	r := &run{
 		job: j, ref: a.Task, step: &j.Steps[a.Task.Step], worker: w, id: a.Run, address: w.entry.Address, phase: phaseRunning, startSentAt: l.state.now,
-		confirmedAt: sent, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint,
+		confirmedAt: sent, progressedAt: l.state.now, speedLimit: unknownSpeed, checkpoint: a.Checkpoint, adopted: true,
 	}
 	w.addRun(r)
 	t.lastRun = max(t.lastRun, a.Run)
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -28,6 +28,8 @@
 	id     structs.Run
 
 	address string // of the worker when the start was sent, or when the run was adopted
+	adopted bool   // a former leader started it
+	resumed bool   // it began with a checkpoint
 
 	phase           phase
 	startSentAt     Instant
@@ -91,7 +93,7 @@
 	n, _ := j.taskNumber(ref)
 	r := &run{
 		job: j, ref: ref, step: &j.Steps[ref.Step], worker: w, id: id, address: w.entry.Address, phase: phaseStarting, startSentAt: l.state.now, progressedAt: l.state.now,
-		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n],
+		speedLimit: fullSpeed, checkpoint: j.Checkpoints[n], resumed: j.Checkpoints[n] != "",
 	}
 	j.setRun(ref, r, l.state.now)
 	t.lastRun = max(t.lastRun, id)
@@ -291,6 +293,7 @@
 	switch e.End {
 	case structs.EndDone:
 		w.recordSuccess()
+		l.observeRunTime(r)
 		l.runDone(j, e.Task)
 	case structs.EndFailed:
 		w.recordFailure(j, e.Task, r)
@@ -303,6 +306,14 @@
 	}
 }
 
+// observeRunTime records how long a run took from which the run time of its step follows: a
+// whole one that this leader started.
+func (l *leaderState) observeRunTime(r *run) {
+	if r != nil && r.confirmedAt > 0 && !r.adopted && !r.resumed && !r.step.Persistent {
+		r.job.observeRunTime(r.ref.Step, l.state.now-r.confirmedAt)
+	}
+}
+
 // runDone marks the task of a run that ended with success as done. The success of
 // one member of a gang marks all members, since they end together.
 func (l *leaderState) runDone(j *job, ref structs.TaskRef) {
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -16,9 +14,6 @@
 	// pass scored, so that long passes leave time for the answers of workers and
 	// the store.
 	passCostPerWorker = time.Microsecond
-	// worthlessFactor times the span from a job's acceptance to its soft deadline is
-	// the age after which the job has no value to its caller.
-	worthlessFactor = 3
 )
 
 // maxDueWait is the longest wait for an occurrence that is not due; the pass after it
@@ -97,47 +92,6 @@
 	}
 }
 
-// waitingJobs returns the jobs with tasks that wait for a run, in order of rank.
-func (l *leaderState) waitingJobs(now Instant) []*job {
-	var jobs []*job
-	for _, j := range l.openJobs {
-		if j.waitingTasks > 0 && j.schedulable() {
-			jobs = append(jobs, j)
-		}
-	}
-	slices.SortStableFunc(jobs, func(a, b *job) int { return l.compareRank(a, b, now) })
-	return jobs
-}
-
-// compareRank orders jobs by priority, then by rank class, then by soft deadline.
-func (l *leaderState) compareRank(a, b *job, now Instant) int {
-	pa, pb := l.state.config.policyOf(&a.Job).Priority, l.state.config.policyOf(&b.Job).Priority
-	if c := cmp.Compare(pa, pb); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(rankClass(a, now), rankClass(b, now)); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.softDeadline, b.softDeadline); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.ID, b.ID)
-}
-
-// rankClass puts persistent jobs first, then jobs that can still meet their soft
-// deadline, then late jobs, and last those that are too late to have any value.
-func rankClass(j *job, now Instant) int {
-	switch {
-	case j.Persistent():
-		return 0
-	case now <= j.softDeadline:
-		return 1
-	case now <= j.submittedAt+worthlessFactor*(j.softDeadline-j.submittedAt):
-		return 2
-	}
-	return 3
-}
-
 // placeJob starts the tasks of a job that are due, unless this leader's claim of
 // the job has not been stored yet.
 func (l *leaderState) placeJob(j *job, unplaceable map[demand]bool) {
