preemption: less urgent runs give way to urgent tasks without room

Cause: an urgent task with room on no worker waited until tasks of a lower priority ended, however long they run; the protocol lets it preempt them. Tasks that have failed start first in their step.

--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -36,6 +36,7 @@
 	since      Instant
 	until      Instant
 	forRestart bool // it is free already; otherwise finite runs that were started before since have to end first
+	preempted  bool // less urgent runs give way to the job there
 }
 
 // keepsRoom reports whether room on the worker is kept for a job now.
@@ -46,7 +47,7 @@
 // keepsRoomFrom reports whether a task of a step would take room that is kept for
 // another job.
 func (w *worker) keepsRoomFrom(j *job, step *structs.Step) bool {
-	if !w.keepsRoom() || w.kept.job == j || step.BestEffort {
+	if !w.keepsRoom() || w.kept.job == j || step.BestEffort && !w.kept.preempted {
 		return false
 	}
 	taken := w.reserved
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -71,7 +71,7 @@
 	if !f.suits(w) || !f.hasRoom(w) {
 		return false
 	}
-	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || f.yieldsKeptRoom()) {
+	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || w.kept.preempted || f.yieldsKeptRoom()) {
 		return false
 	}
 	return !f.step.BestEffort || w.throttle.speedLimit == fullSpeed && w.idleMilliCores() >= f.step.Request.MilliCores ||
--- /dev/null
+++ b/core/scheduler/preempt.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/preemption"
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// preemptionInterval separates searches for runs that give way to the tasks of one job.
+	preemptionInterval = 100 * time.Millisecond
+	// resumeLoss is the time that a run loses which saves its progress when it is stopped:
+	// it restores its checkpoint, and waits for a worker before.
+	resumeLoss = time.Second
+)
+
+// preemptFor stops runs of a lower priority on a worker where they leave room for a task
+// that no worker has room for, and keeps that room for it.
+func (l *leaderState) preemptFor(j *job, ref structs.TaskRef, f *stepFilter) {
+	now := l.state.now
+	switch {
+	case f.step.BestEffort || now < j.preemptionRetryAt || now < j.roomKeptUntil:
+		return
+	case now-j.waitingSince < preemption.Delay:
+		l.schedule.requestPassAt(j.waitingSince + preemption.Delay)
+		return
+	case j.displacedAt > 0 && now-j.displacedAt < preemption.Cooldown:
+		return
+	}
+	j.preemptionRetryAt = now + preemptionInterval
+	l.schedule.requestPassAt(j.preemptionRetryAt)
+	if _, free := l.countHolds(f); free <= 0 {
+		return
+	}
+	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.stepWork(ref.Step, 1)}
+	offers, runs := l.preemptionOffers(f)
+	plan, ok := preemption.Choose(task, offers)
+	if !ok {
+		return
+	}
+	w := l.workers[l.workerIDs[plan.Worker]]
+	for _, id := range plan.Runs {
+		r := runs[id]
+		r.job.displacedAt = now
+		l.moveRun(r, "gives way to more urgent work")
+	}
+	w.keepRoom(keptRoom{job: j, need: task.Need, preempted: true}, holdTime)
+	l.state.logDecision(Decision{
+		Part: "job", Action: "displaces less urgent work", Subject: taskName(ref), Where: string(w.id), Number: uint64(len(plan.Runs)), Age: now - j.waitingSince,
+	})
+}
+
+// preemptionOffers returns the workers that could run a task of a step if less urgent runs
+// gave way, and these runs.
+func (l *leaderState) preemptionOffers(f *stepFilter) ([]preemption.Offer, []*run) {
+	var offers []preemption.Offer
+	var runs []*run
+	for number, id := range l.workerIDs {
+		w := l.workers[id]
+		if !f.suits(w) || w.keepsRoom() || !w.withinStepLimit(f.key, f.step) || !l.adviceAllows(w, f.key, f.policy) {
+			continue
+		}
+		offer := preemption.Offer{Worker: number, Reserved: w.reserved, Capacity: w.entry.Capacity}
+		for _, r := range w.sortedRuns() {
+			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.mayGiveWay() {
+				offer.Runs = append(offer.Runs, preemption.Run{ID: len(runs), Priority: priority, Reserved: reservation(r.step), LostWork: r.lostWork()})
+				runs = append(runs, r)
+			}
+		}
+		if len(offer.Runs) > 0 {
+			offers = append(offers, offer)
+		}
+	}
+	return offers, runs
+}
+
+// mayGiveWay reports whether a run may be displaced: a finite one that does not hold up
+// others with its end, of a job that has not been displaced lately.
+func (r *run) mayGiveWay() bool {
+	now := r.worker.leader.state.now
+	recently := r.job.displacedAt > 0 && now-r.job.displacedAt < preemption.Cooldown
+	return r.phase == phaseRunning && !r.step.Persistent && !r.step.Gang && !recently
+}
+
+// lostWork returns the work that a stop of the run throws away, in processor-seconds.
+func (r *run) lostWork() float64 {
+	const milliCoresPerCore = 1000
+	cores := float64(r.step.Request.MilliCores) / milliCoresPerCore
+	lost := r.worker.leader.state.now - r.confirmedAt
+	if r.step.SavesProgress {
+		lost = min(lost, resumeLoss)
+	}
+	return cores * lost.Seconds()
+}
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -151,7 +151,7 @@
 		return
 	}
 	ranking := l.newRanking(j, occurrence, step)
-	for index := range j.Steps[step].Count {
+	for _, index := range j.startOrder(occurrence, step) {
 		if l.starts.full() {
 			return
 		}
@@ -169,6 +169,7 @@
 				unplaceable[need] = true
 			}
 			l.holdWorkers(j, ref)
+			l.preemptFor(j, ref, ranking.filter)
 			return
 		}
 		if !j.claimStored {
@@ -180,6 +181,24 @@
 	}
 }
 
+// startOrder returns the indexes of the tasks of a step in the order in which they start:
+// those that have failed come first, so that a job that can never be done ends soon.
+func (j *job) startOrder(occurrence, step int) []int {
+	order := make([]int, 0, j.Steps[step].Count)
+	for _, failed := range []bool{true, false} {
+		if failed && len(j.Failures) == 0 {
+			continue
+		}
+		for index := range j.Steps[step].Count {
+			n, _ := j.taskNumber(j.taskRef(occurrence, step, index))
+			if (len(j.Failures[n]) > 0) == failed {
+				order = append(order, index)
+			}
+		}
+	}
+	return order
+}
+
 // demand holds the properties that decide which workers can run a task, except
 // for the per-worker limit of its step.
 type demand struct {
