scheduler, admission: a job that would be worthless is refused at the door

Cause: nothing was refused but while the store is away, also when the work that waits takes longer than a job has value to its caller. Such a job waited, and its caller learned nothing.

Change: leaders add the backlog of each service by priority, the work by size of its jobs, and the rate of work to the load of their shard. At submission core/admission estimates from it when the job would be done at the earliest; beyond three times its objective it is refused as not run, with the time until it would be on time as Retry-After. Only queues with an objective that share a service with a queue of another priority take part; persistent, repeated and stored jobs are never refused, nor is any job by a load that is stale, missing, unreadable or from a leader that has measured for less than 6 s. The row of the job is read before a refusal.

--- /dev/null
+++ b/core/scheduler/admission.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/admission"
+	"github.com/tamarackstep/tamarackstep/core/structs"
+)
+
+const (
+	// rateWarmUp is how long a leader measures the rate of work before it counts.
+	rateWarmUp = 6 * time.Second
+	// maxWaitingTasks bounds the tasks that wait in one shard, so that its leader and the
+	// next one have memory for them.
+	maxWaitingTasks = 100_000
+	// minRefusalRetry and maxRefusalRetry bound the delay before a refused job is sent again.
+	minRefusalRetry = time.Second
+	maxRefusalRetry = 30 * time.Second
+	// quietStoreTime is how long calls to the store have to succeed before a job is refused:
+	// an earlier submission of it that had no answer may still be performed.
+	quietStoreTime = 5 * time.Second
+)
+
+// admissionState holds the buffers of the decisions, which are reused.
+type admissionState struct {
+	reports []admission.Report
+	classes []admission.Class
+}
+
+// admitNew calls accept with a new job, unless the job is refused. A job that is stored
+// already is confirmed instead, since its caller submits it again.
+func (s *State) admitNew(r *request, job *structs.Job, accept func()) {
+	d := s.decideAdmission(job)
+	if !d.Refused() {
+		accept()
+		return
+	}
+	s.readRow(TableJobs, jobPartition(job.ID), string(job.ID), func(got RowsRead) {
+		switch {
+		case got.Outcome != structs.OutcomeDone:
+			accept() // the commit tells whether the job is stored
+		case len(got.Rows) > 0:
+			s.answer(r, Answer{Status: AnswerOK})
+		default:
+			s.refuseNew(r, job, d)
+		}
+	})
+}
+
+// refuseNew refuses a job that is not stored.
+func (s *State) refuseNew(r *request, job *structs.Job, d admission.Decision) {
+	s.logDecision(Decision{
+		Part: "request", Action: "not admitted", Subject: string(job.ID), Where: job.Queue, Number: s.config.current.Number, Age: s.oldestReport(),
+		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/1000, d.Completion.Seconds(), d.Limit.Seconds()),
+	})
+	s.answer(r, Answer{Status: AnswerNotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter})
+}
+
+// decideAdmission decides on a new job by the loads that the host knows.
+func (s *State) decideAdmission(job *structs.Job) admission.Decision {
+	policy := s.config.policyOf(job)
+	mostUrgent, admits := s.config.admissionOf(policy)
+	if !admits || job.Repeat != nil || job.Persistent() || !s.storeQuiet() || !s.gatherReports(job, policy.Service) {
+		return admission.Decision{}
+	}
+	chain := criticalPath(job.Steps)
+	if chain == 0 {
+		return admission.Decision{} // it declares no run times
+	}
+	demand := admission.Demand{
+		Priority: policy.Priority, Chain: chain, Stretch: policy.Stretch, Slack: policy.Slack, Worthless: worthlessFactor,
+	}
+	for i := range job.Steps {
+		demand.Work += taskWork(&job.Steps[i]) * admission.Work(job.Steps[i].Count)
+	}
+	const draws = 1 << 16
+	return admission.Decide(demand, s.admission.reports, admission.Limits{
+		MaxAge: maxLoadAge, MinMeasured: rateWarmUp, MaxTasks: maxWaitingTasks, MostUrgent: mostUrgent,
+		MinRetry: minRefusalRetry, MaxRetry: maxRefusalRetry, RandomFactor: float64(s.draw()%draws) / draws,
+	})
+}
+
+// admissionOf reports whether jobs of a queue may be refused: it has a completion objective
+// and shares its service with a queue of another priority. It returns the most urgent
+// priority of the service.
+func (c *configState) admissionOf(policy *structs.Policy) (mostUrgent int, admits bool) {
+	mostUrgent = policy.Priority
+	for i := range c.current.Queues {
+		other := &c.current.Queues[i].Policy
+		if other.Service != policy.Service || other.Priority == policy.Priority {
+			continue
+		}
+		admits = policy.Stretch > 0 || policy.Slack > 0
+		mostUrgent = min(mostUrgent, other.Priority)
+	}
+	return mostUrgent, admits
+}
+
+// storeQuiet reports whether the host's calls to the store have succeeded for some time.
+func (s *State) storeQuiet() bool {
+	return s.now >= quietStoreTime && !s.store.failing && (s.store.lastFailure == 0 || s.now-s.store.lastFailure > quietStoreTime)
+}
+
+// gatherReports collects the reports of the shards with workers of a service, or returns
+// false if the load of a shard is not known.
+func (s *State) gatherReports(job *structs.Job, service string) bool {
+	v, a := &s.shards, &s.admission
+	a.reports, a.classes = a.reports[:0], a.classes[:0]
+	for id := range ShardID(v.count()) {
+		row, ok := v.loads[id]
+		if !ok || row.AtMS == 0 {
+			return false
+		}
+		load, ok := row.Services[service]
+		if !ok {
+			continue
+		}
+		from := len(a.classes)
+		for _, c := range load.Backlog {
+			a.classes = append(a.classes, admission.Class{
+				Priority: c.Priority, Waiting: c.Waiting, OnTime: c.OnTime, Tasks: c.Tasks, Running: c.Running, Rate: float64(c.Rate),
+			})
+		}
+		a.reports = append(a.reports, admission.Report{
+			Age: v.age(row, s.now), Measured: time.Duration(row.MeasuredMS) * time.Millisecond,
+			RoomFree: load.hasRoomFor(job), Classes: a.classes[from:],
+		})
+	}
+	return true
+}
+
+// hasRoomFor reports whether nothing waits for the room of the service, or a first task of
+// a job finds room besides.
+func (load *ServiceLoad) hasRoomFor(job *structs.Job) bool {
+	if len(load.Backlog) == 0 {
+		return true
+	}
+	first := &job.Steps[0]
+	return load.roomFor(first, 1) >= 0 || !first.BestEffort && load.freeSlots(first) > 0
+}
+
+// oldestReport returns the age of the oldest report of the last decision.
+func (s *State) oldestReport() time.Duration {
+	var oldest time.Duration
+	for i := range s.admission.reports {
+		oldest = max(oldest, s.admission.reports[i].Age)
+	}
+	return oldest
+}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -208,10 +208,10 @@
 
 // criticalPath returns the declared run time of the longest chain of dependent
 // steps.
-func (j *job) criticalPath() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
+func criticalPath(steps []structs.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
-	for i, step := range j.Steps {
+	for i, step := range steps {
 		for _, a := range step.After {
 			ends[i] = max(ends[i], ends[a])
 		}
@@ -320,7 +320,7 @@
 		}
 	}
 	policy := l.state.config.policyOf(&j.Job)
-	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(j.criticalPath(), maxObjective))), maxObjective) + policy.Slack
+	j.softDeadline = j.submittedAt + min(time.Duration(policy.Stretch*float64(min(criticalPath(j.Steps), maxObjective))), maxObjective) + policy.Slack
 	l.openJobs = append(l.openJobs, j)
 	l.writeParts(j, j.Given)
 	if j.Moving {
@@ -394,6 +394,7 @@
 	j.SetDone(n)
 	j.remainingByStep[ref.Occurrence][ref.Step]--
 	j.remainingTasks--
+	l.meterWork(j, ref.Step)
 	l.markDirty(j)
 	if j.remainingTasks == 0 {
 		l.finishJob(j, structs.JobCompleted, "all tasks are done")
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/admission"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -52,6 +53,7 @@
 
 	commits            commitState
 	interference       *interferenceModel
+	workDone           map[classKey]*admission.Meter // rates of work, by class
 	schedule           scheduleState
 	starts             startWindow
 	advice             adviceState
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -141,8 +141,10 @@
 		return
 	}
 	s.withLoads(func() {
-		job.Shard = int(s.chooseShard(&job))
-		s.storeJob(r, job)
+		s.admitNew(r, &job, func() {
+			job.Shard = int(s.chooseShard(&job))
+			s.storeJob(r, job)
+		})
 	})
 }
 
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/tamarackstep/tamarackstep/core/admission"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -201,6 +202,8 @@
 	QueueLengths map[string]int         `json:"queues"`     // accepted jobs that have not started, by queue
 	Services     map[string]ServiceLoad `json:"services"`   // by service
 	Labels       []string               `json:"labels"`     // of its workers
+	// MeasuredMS is how long the leader has measured the rates of the backlogs.
+	MeasuredMS int64 `json:"measured_ms,omitempty"`
 }
 
 // ServiceLoad is the capacity of a shard for the tasks of one service. All amounts
@@ -217,6 +220,21 @@
 	// LargestMilliCores is the most that is free on a single worker. It tells of room for a
 	// task that lies between two of slotSizes.
 	LargestMilliCores int64 `json:"largest,omitempty"`
+	// Backlog is the work for the workers of the service by priority, most urgent first;
+	// empty while no task waits.
+	Backlog []BacklogClass `json:"backlog,omitempty"`
+}
+
+// BacklogClass is the work of one priority of a service in a shard. Persistent tasks do not
+// count.
+type BacklogClass struct {
+	Priority int            `json:"prio,omitempty"`
+	Waiting  admission.Work `json:"wait,omitempty"`  // of the tasks without a run
+	Tasks    int            `json:"tasks,omitempty"` // number of the tasks without a run
+	Running  int64          `json:"run,omitempty"`   // requested by tasks with a run, in millicores
+	Rate     int64          `json:"rate,omitempty"`  // work done per second, in millicores
+	// OnTime is the part of Waiting in jobs whose soft deadline has not passed, by their sizes.
+	OnTime admission.BySize `json:"timely,omitzero"`
 }
 
 // slotSizes are the reservations, in thousandths of a processor, for which the load of
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"github.com/tamarackstep/tamarackstep/core/admission"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -36,6 +37,7 @@
 	jobFrame          = 640 // job with its policy and repetition, besides its texts and steps
 	loadFrame         = 512
 	serviceLoadBytes  = 128 + (2*len(slotSizes)+3)*numberBytes
+	backlogClassBytes = 64 + (5+admission.Sizes)*numberBytes
 	pressureFrame     = 64 + 2*numberBytes
 	textFrame         = 4 // quotes, colon and comma
 	rackEntryFrame    = textFrame + shardNumberBytes
@@ -201,8 +203,8 @@
 	for queue := range r.QueueLengths {
 		n += queueLengthsFrame + textBytes(queue)
 	}
-	for service := range r.Services {
-		n += serviceLoadBytes + textBytes(service)
+	for service, load := range r.Services {
+		n += serviceLoadBytes + textBytes(service) + backlogClassBytes*len(load.Backlog)
 	}
 	for _, label := range r.Labels {
 		n += textFrame + textBytes(label)
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -161,6 +161,7 @@
 		load.subtractWaiting(j)
 		row.Services[service] = load
 	}
+	l.addBacklog(&row)
 	return row.within(s.bounds.rowLimit())
 }
 
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -24,6 +24,7 @@
 	answers          map[RequestID]Answer
 	lastRequest      RequestID
 	submittedJobs    map[structs.JobID]structs.Job
+	submissions      map[structs.JobID][]RequestID // of each job
 	oracle           oracle
 	shardWorkers     int                       // workers for which a shard is added; 0: there is one
 	adviceAllowed    map[structs.WorkerID]bool // workers that the advice service allows
@@ -77,7 +78,7 @@
 func newShardedSimulation(t rapid.TB, hosts, workers, shardWorkers int) *simulation {
 	sim := &simulation{
 		t: t, shardWorkers: shardWorkers, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
-		submittedJobs: make(map[structs.JobID]structs.Job), checkpointedWork: make(map[structs.TaskRef]time.Duration),
+		submittedJobs: make(map[structs.JobID]structs.Job), submissions: make(map[structs.JobID][]RequestID), checkpointedWork: make(map[structs.TaskRef]time.Duration),
 	}
 	sim.oracle.init(sim)
 	sim.store = newFakeStore(sim)
@@ -366,6 +367,7 @@
 	sim.lastRequest++
 	req := sim.lastRequest
 	sim.submittedJobs[structs.JobID(id)] = job
+	sim.submissions[structs.JobID(id)] = append(sim.submissions[structs.JobID(id)], req)
 	h.deliver(RequestArrived{Request: req, Kind: RequestSubmit, Host: "h", Path: "/q/" + id, Job: job, Timeout: 3 * time.Second})
 	return req
 }
@@ -466,7 +468,8 @@
 }
 
 // oracle checks the invariants: no task runs twice at once or after its end was
-// acknowledged, each start is covered by a stored claim and on a worker of the job's
+// acknowledged, no task of a job runs whose submissions were all answered "not run", each
+// start is covered by a stored claim and on a worker of the job's
 // shard, and its specification is the one that was submitted.
 type oracle struct {
 	sim  *simulation
@@ -514,7 +517,20 @@
 		t.Fatalf("%v: %s of %v started on %s of %v", o.sim.now, taskName(e.Task), got, f.id, shard)
 	}
 	job, ok := o.sim.submittedJobs[e.Task.Job]
+	if o.refused(e.Task.Job) {
+		t.Fatalf("%v: %s started, and all its submissions were answered not run", o.sim.now, taskName(e.Task))
+	}
 	if !ok || job.Spec != e.Spec {
 		t.Fatalf("%s started with a specification that was not submitted", taskName(e.Task))
 	}
 }
+
+// refused reports whether all submissions of a job were answered "not run".
+func (o *oracle) refused(id structs.JobID) bool {
+	for _, req := range o.sim.submissions[id] {
+		if o.sim.answers[req].Status != AnswerNotRun {
+			return false
+		}
+	}
+	return len(o.sim.submissions[id]) > 0
+}
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -23,14 +23,15 @@
 
 	timers timers.Queue[func()]
 
-	store    storeHealth
-	bulk     bulkReads
-	config   configState
-	requests requestState
-	shards   shardView
-	stopping bool
-	ready    bool
-	watches  map[watchKey]*watch
+	store     storeHealth
+	bulk      bulkReads
+	config    configState
+	requests  requestState
+	shards    shardView
+	admission admissionState
+	stopping  bool
+	ready     bool
+	watches   map[watchKey]*watch
 
 	leaders []*leaderState // of the shards that this host schedules, by shard
 }
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -34,7 +34,8 @@
 	failing      bool
 	failingSince Instant // first failure since lastSuccess
 	everReached  bool
-	failures     int // since lastSuccess
+	failures     int     // since lastSuccess
+	lastFailure  Instant // 0: none
 }
 
 // observe records the outcome of one call.
@@ -50,7 +51,7 @@
 		h.failingSince = s.now
 		s.logDecision(Decision{Part: "store", Action: "store call failed", Subject: s.self.Host, Reason: outcomeName(outcome)})
 	}
-	h.failing = true
+	h.failing, h.lastFailure = true, s.now
 	h.failures++
 }
 
