--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -173,7 +173,7 @@
 	higherWaits := false
 	for i := range r.Classes {
 		c := &r.Classes[i]
-		rate := c.rate()
+		rate := c.CurrentRate()
 		total += rate
 		if c.Priority >= priority {
 			own += rate
@@ -187,9 +187,9 @@
 	return own, total
 }
 
-// rate returns at what rate work of the class is done. Until a task has ended, it is what
+// CurrentRate returns at what rate work of the class is done. Until a task has ended, it is what
 // its tasks request.
-func (c *Class) rate() float64 {
+func (c *Class) CurrentRate() float64 {
 	if c.Rate > 0 {
 		return c.Rate
 	}
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -52,7 +52,7 @@
 func (s *State) refuseNew(r *request, job *structs.Job, d admission.Decision) {
 	s.logDecision(Decision{
 		Part: "request", Action: "not admitted", Subject: string(job.ID), Where: job.Queue, Number: s.config.current.Number, Age: s.oldestReport(),
-		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/1000, d.Completion.Seconds(), d.Limit.Seconds()),
+		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/coreSecond, d.Completion.Seconds(), d.Limit.Seconds()),
 	})
 	s.answer(r, Answer{Status: AnswerNotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter})
 }
@@ -117,10 +117,8 @@
 			continue
 		}
 		from := len(a.classes)
-		for _, c := range load.Backlog {
-			a.classes = append(a.classes, admission.Class{
-				Priority: c.Priority, Waiting: c.Waiting, OnTime: c.OnTime, Tasks: c.Tasks, Running: c.Running, Rate: float64(c.Rate),
-			})
+		for i := range load.Backlog {
+			a.classes = append(a.classes, load.Backlog[i].class())
 		}
 		a.reports = append(a.reports, admission.Report{
 			Age: v.age(row, s.now), Measured: time.Duration(row.MeasuredMS) * time.Millisecond,
@@ -130,8 +128,8 @@
 	return true
 }
 
-// hasRoomFor reports whether nothing waits for the room of the service, or a first task of
-// a job finds room besides.
+// hasRoomFor reports whether little work waits for the room of the service, or a first task
+// of a job finds room besides.
 func (load *ServiceLoad) hasRoomFor(job *structs.Job) bool {
 	if len(load.Backlog) == 0 {
 		return true
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/admission"
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -44,36 +46,68 @@
 	l.workDone[class].Add(taskWork(&j.Steps[step]), l.state.now)
 }
 
-// addBacklog adds the backlog of each service with waiting work to the load of the shard.
+// addBacklog adds the backlog of each service to the load of the shard, if it matters.
 func (l *leaderState) addBacklog(row *ShardLoadRow) {
-	waiting := make(map[classKey]*BacklogClass)
+	classes := l.backlog()
+	byService := make(map[string][]admission.Class)
+	for _, key := range slices.SortedFunc(maps.Keys(classes), classKey.compare) {
+		byService[key.service] = append(byService[key.service], *classes[key])
+	}
+	for service, classes := range byService {
+		if !matters(classes) {
+			continue
+		}
+		load := row.Services[service]
+		for i := range classes[:min(len(classes), maxBacklogClasses)] {
+			load.Backlog = append(load.Backlog, backlogClass(&classes[i]))
+		}
+		row.Services[service] = load
+		row.MeasuredMS = (l.state.now - l.loadedAt).Milliseconds()
+	}
+}
+
+// compare orders classes by service, and then with the most urgent first.
+func (k classKey) compare(other classKey) int {
+	return cmp.Or(cmp.Compare(k.service, other.service), cmp.Compare(k.priority, other.priority))
+}
+
+// minBacklogTime is how long the waiting work of a service takes at least before it is
+// published. No job is refused because of a shorter wait.
+const minBacklogTime = 2 * time.Second
+
+// matters reports whether jobs may be refused because of a backlog.
+func matters(classes []admission.Class) bool {
+	var work admission.Work
+	rate, tasks := 0.0, 0
+	for i := range classes {
+		c := &classes[i]
+		work, rate, tasks = work+c.Waiting, rate+c.CurrentRate(), tasks+c.Tasks
+	}
+	return tasks > 0 && float64(work) >= rate*minBacklogTime.Seconds() || tasks >= maxWaitingTasks/2
+}
+
+// backlog returns the work of each class of the services in which tasks wait.
+func (l *leaderState) backlog() map[classKey]*admission.Class {
+	classes := make(map[classKey]*admission.Class)
 	for _, j := range l.openJobs {
 		if j.waitingTasks > 0 && j.schedulable() {
-			l.addWaitingWork(waiting, j)
+			l.addWaitingWork(classes, j)
 		}
 	}
-	if len(waiting) == 0 {
-		return
+	if len(classes) == 0 {
+		return nil
 	}
-	l.addRunning(waiting)
-	for class, c := range waiting {
-		if meter := l.workDone[class]; meter != nil {
-			c.Rate = int64(meter.Rate(l.state.now))
+	l.addRunning(classes)
+	for key, c := range classes {
+		if meter := l.workDone[key]; meter != nil {
+			c.Rate = meter.Rate(l.state.now)
 		}
-		load := row.Services[class.service]
-		load.Backlog = append(load.Backlog, *c)
-		row.Services[class.service] = load
-	}
-	for service, load := range row.Services {
-		slices.SortFunc(load.Backlog, func(a, b BacklogClass) int { return cmp.Compare(a.Priority, b.Priority) })
-		load.Backlog = load.Backlog[:min(len(load.Backlog), maxBacklogClasses)]
-		row.Services[service] = load
 	}
-	row.MeasuredMS = (l.state.now - l.loadedAt).Milliseconds()
+	return classes
 }
 
 // addWaitingWork adds the tasks of a job that have no run.
-func (l *leaderState) addWaitingWork(waiting map[classKey]*BacklogClass, j *job) {
+func (l *leaderState) addWaitingWork(waiting map[classKey]*admission.Class, j *job) {
 	work, tasks := l.waitingWork(j)
 	if tasks == 0 {
 		return
@@ -81,7 +115,7 @@
 	key := l.classOf(j)
 	c := waiting[key]
 	if c == nil {
-		c = &BacklogClass{Priority: key.priority}
+		c = &admission.Class{Priority: key.priority}
 		waiting[key] = c
 	}
 	c.Tasks += tasks
@@ -109,7 +143,7 @@
 }
 
 // addRunning adds what runs to the classes of the services with waiting work.
-func (l *leaderState) addRunning(classes map[classKey]*BacklogClass) {
+func (l *leaderState) addRunning(classes map[classKey]*admission.Class) {
 	services := make(map[string]bool)
 	for key := range classes {
 		services[key.service] = true
@@ -125,10 +159,55 @@
 			}
 			c := classes[key]
 			if c == nil {
-				c = &BacklogClass{Priority: key.priority}
+				c = &admission.Class{Priority: key.priority}
 				classes[key] = c
 			}
 			c.Running += r.step.Request.MilliCores
 		}
 	}
 }
+
+// coreSecond is the unit of work in rows.
+const coreSecond = admission.Work(1000)
+
+// backlogClass returns the entry of a row for a class.
+func backlogClass(c *admission.Class) BacklogClass {
+	out := BacklogClass{Priority: c.Priority, Waiting: int64(c.Waiting / coreSecond), Tasks: c.Tasks, Rate: int64(c.Rate)}
+	if out.Rate == 0 {
+		out.Running = c.Running
+	}
+	for size, work := range c.OnTime {
+		if work >= coreSecond {
+			out.OnTime = append(out.OnTime, make([]int64, size+1-len(out.OnTime))...)
+			out.OnTime[size] = int64(work / coreSecond)
+		}
+	}
+	return out
+}
+
+// class returns the class of an entry of a row.
+func (b *BacklogClass) class() admission.Class {
+	c := admission.Class{Priority: b.Priority, Waiting: admission.Work(b.Waiting) * coreSecond, Tasks: b.Tasks, Running: b.Running, Rate: float64(b.Rate)}
+	for size, work := range b.OnTime[:min(len(b.OnTime), admission.Sizes)] {
+		c.OnTime[size] = admission.Work(work) * coreSecond
+	}
+	return c
+}
+
+// reportShards reports the known loads of all shards for the metrics.
+func (s *State) reportShards() {
+	v := &s.shards
+	for id := range ShardID(v.count()) {
+		row, ok := v.loads[id]
+		if !ok || row.AtMS == 0 {
+			continue
+		}
+		report := ShardReport{Shard: id, WrittenAt: s.now - v.age(row, s.now), Backlog: make(map[string][]BacklogClass)}
+		for service, load := range row.Services {
+			if len(load.Backlog) > 0 {
+				report.Backlog[service] = load.Backlog
+			}
+		}
+		s.emit(report)
+	}
+}
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -149,6 +149,13 @@
 	Number  uint64        // version, run or epoch of the input; 0: none
 }
 
+// ShardReport tells what the host knows of the load of one shard, for the metrics.
+type ShardReport struct {
+	Shard     ShardID
+	WrittenAt Instant // when its leader wrote the load
+	Backlog   map[string][]BacklogClass
+}
+
 // StopProcess ends the process: the planned stop is complete.
 type StopProcess struct{}
 
@@ -163,4 +170,5 @@
 func (Answer) isEffect()       {}
 func (SetReady) isEffect()     {}
 func (Decision) isEffect()     {}
+func (ShardReport) isEffect()  {}
 func (StopProcess) isEffect()  {}
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/tamarackstep/tamarackstep/core/admission"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -221,20 +220,19 @@
 	// task that lies between two of slotSizes.
 	LargestMilliCores int64 `json:"largest,omitempty"`
 	// Backlog is the work for the workers of the service by priority, most urgent first;
-	// empty while no task waits.
+	// empty while little work waits.
 	Backlog []BacklogClass `json:"backlog,omitempty"`
 }
 
-// BacklogClass is the work of one priority of a service in a shard. Persistent tasks do not
-// count.
+// BacklogClass is the work of one priority of a service in a shard, in core-seconds by
+// declared run times. Persistent tasks do not count.
 type BacklogClass struct {
-	Priority int            `json:"prio,omitempty"`
-	Waiting  admission.Work `json:"wait,omitempty"`  // of the tasks without a run
-	Tasks    int            `json:"tasks,omitempty"` // number of the tasks without a run
-	Running  int64          `json:"run,omitempty"`   // requested by tasks with a run, in millicores
-	Rate     int64          `json:"rate,omitempty"`  // work done per second, in millicores
-	// OnTime is the part of Waiting in jobs whose soft deadline has not passed, by their sizes.
-	OnTime admission.BySize `json:"timely,omitzero"`
+	Priority int     `json:"prio,omitempty"`
+	Waiting  int64   `json:"wait,omitempty"`   // of the tasks without a run
+	OnTime   []int64 `json:"timely,omitempty"` // the part of it in jobs whose soft deadline has not passed, by their sizes
+	Tasks    int     `json:"tasks,omitempty"`  // number of the tasks without a run
+	Running  int64   `json:"run,omitempty"`    // requested by tasks with a run, in millicores; 0 if Rate is known
+	Rate     int64   `json:"rate,omitempty"`   // work done per second, in millicores
 }
 
 // slotSizes are the reservations, in thousandths of a processor, for which the load of
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -104,6 +104,7 @@
 		if r.Outcome == structs.OutcomeDone {
 			v.storeMS, v.readAt, v.everRead = r.StoreMS, s.now, true
 			s.applyShardRows(r.Rows)
+			s.reportShards()
 		}
 		done(r)
 	})
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -70,9 +70,10 @@
 	advisor *platform.Advisor
 	pools   map[string]*runner.Pool[scheduler.EventBody]
 
-	requests *requestHandler
-	ready    atomic.Bool
-	stopped  chan struct{} // closed when the planned stop is complete
+	requests    *requestHandler
+	shardGauges *shardGauges
+	ready       atomic.Bool
+	stopped     chan struct{} // closed when the planned stop is complete
 }
 
 // New returns a host that does not run yet. LogQueue is the queue behind log.
@@ -102,6 +103,7 @@
 	h.workers = platform.NewWorkers(client(workerConnections))
 	h.advisor = platform.NewAdvisor(client(1), s.Advice)
 	h.requests = newRequestHandler(h)
+	h.shardGauges = newShardGauges(h.metrics, h.clock)
 	h.registerGauges(logQueue)
 	return h
 }
@@ -173,6 +175,8 @@
 	case scheduler.Decision:
 		h.metrics.RecordDecision(e.Part, e.Action)
 		logging.LogSchedulerDecision(h.log, e)
+	case scheduler.ShardReport:
+		h.shardGauges.record(e)
 	case scheduler.StopProcess:
 		close(h.stopped)
 	}
--- a/entry/internal/telemetry/telemetry.go
+++ b/entry/internal/telemetry/telemetry.go
@@ -49,6 +49,11 @@
 // AddGauge adds a gauge whose value is read when the metrics are written.
 func (t *Telemetry) AddGauge(name string, read func() float64) { t.set.NewGauge(name, read) }
 
+// SetGauge sets a gauge, and adds it if it is not there.
+func (t *Telemetry) SetGauge(name string, value float64) {
+	t.set.GetOrCreateGauge(name, nil).Set(value)
+}
+
 // Write writes all metrics, with those of the Go runtime and the process.
 func (t *Telemetry) Write(w io.Writer) {
 	t.set.WritePrometheus(w)
