scheduler: a job is not refused while an earlier submission of it is on its way at the same host

Cause: a commit without an answer may still be performed; a second submission of the job at the same host could be answered not run meanwhile. The age in the decision line was that of the last decision, not of this one.

Change: admission accepts while another request for the job is in progress; a decision has the age of its oldest report.

Measured: TestSubmissionInFlightIsNotRefused fails without the rule and passes with it.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -79,6 +79,7 @@
 	Ahead      Work          // waiting work that is served before the job, where that is least
 	Completion time.Duration // estimated, in the same shard
 	Limit      time.Duration // age at which the job has no value to its caller
+	Age        time.Duration // of the oldest report, if the job is refused
 }
 
 // Refused reports whether the job is refused.
@@ -102,11 +103,13 @@
 // would not fit into any queue.
 func Decide(d Demand, reports []Report, limits Limits) Decision {
 	best := Decision{Reason: Unknown}
+	var oldest time.Duration
 	for i := range reports {
 		r := &reports[i]
 		if r.Age > limits.MaxAge || r.Age < -limits.MaxAge || r.Measured < limits.MinMeasured {
 			return Decision{Reason: Unknown}
 		}
+		oldest = max(oldest, r.Age)
 		got := d.decideIn(r, &limits)
 		if !got.Refused() {
 			return got
@@ -116,7 +119,7 @@
 		}
 	}
 	if best.Refused() {
-		best.RetryAfter = limits.spread(best.RetryAfter)
+		best.RetryAfter, best.Age = limits.spread(best.RetryAfter), oldest
 	}
 	return best
 }
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -51,16 +51,16 @@
 
 // TestAnyShard guards against a refusal while one shard could serve the job or says nothing.
 func TestAnyShard(t *testing.T) {
-	free, stale := overloaded(), overloaded()
-	free.RoomFree, stale.Age = true, time.Minute
+	free, stale, older := overloaded(), overloaded(), overloaded()
+	free.RoomFree, stale.Age, older.Age = true, time.Minute, time.Second
 	for name, c := range map[string]struct {
 		reports []Report
 		want    bool
 	}{
-		"no shard": {nil, false}, "both overloaded": {[]Report{overloaded(), overloaded()}, true},
+		"no shard": {nil, false}, "both overloaded": {[]Report{older, overloaded()}, true},
 		"one free": {[]Report{overloaded(), free}, false}, "one stale": {[]Report{overloaded(), stale}, false},
 	} {
-		if got := Decide(waitingJob(2), c.reports, replayLimits); got.Refused() != c.want {
+		if got := Decide(waitingJob(2), c.reports, replayLimits); got.Refused() != c.want || c.want && got.Age != time.Second {
 			t.Errorf("%s: %+v", name, got)
 		}
 	}
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -32,7 +32,7 @@
 // already is confirmed instead, since its caller submits it again.
 func (s *State) admitNew(r *request, job *structs.Job, accept func()) {
 	d := s.decideAdmission(job)
-	if !d.Refused() {
+	if !d.Refused() || s.requests.hasOther(r) {
 		accept()
 		return
 	}
@@ -48,10 +48,21 @@
 	})
 }
 
+// hasOther reports whether an earlier request for the same job is in progress, which may be
+// a submission that the store still performs.
+func (rs *requestState) hasOther(r *request) bool {
+	for _, other := range rs.open {
+		if other != r && other.job == r.job {
+			return true
+		}
+	}
+	return false
+}
+
 // refuseNew refuses a job that is not stored.
 func (s *State) refuseNew(r *request, job *structs.Job, d admission.Decision) {
 	s.logDecision(Decision{
-		Part: "request", Action: "not admitted", Subject: string(job.ID), Where: job.Queue, Number: s.config.current.Number, Age: s.oldestReport(),
+		Part: "request", Action: "not admitted", Subject: string(job.ID), Where: job.Queue, Number: s.config.current.Number, Age: d.Age,
 		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/coreSecond, d.Completion.Seconds(), d.Limit.Seconds()),
 	})
 	s.answer(r, Answer{Status: AnswerNotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter})
@@ -137,12 +148,3 @@
 	first := &job.Steps[0]
 	return load.roomFor(first, 1) >= 0 || !first.BestEffort && load.freeSlots(first) > 0
 }
-
-// oldestReport returns the age of the oldest report of the last decision.
-func (s *State) oldestReport() time.Duration {
-	var oldest time.Duration
-	for i := range s.admission.reports {
-		oldest = max(oldest, s.admission.reports[i].Age)
-	}
-	return oldest
-}
--- a/core/scheduler/admission_test.go
+++ b/core/scheduler/admission_test.go
@@ -166,3 +166,30 @@
 		t.Errorf("answer %+v, and the job row was not read", got)
 	}
 }
+
+// TestSubmissionInFlightIsNotRefused guards against "not run" for a job whose earlier
+// submission at the same host has no answer from the store yet, which performs it late.
+func TestSubmissionInFlightIsNotRefused(t *testing.T) {
+	sim := newSimulation(t, 2, 1)
+	sim.store.set(TableOperator, KeyConfiguration, admissionQueues())
+	sim.waitForLeader()
+	sim.submitMany(0, 1)
+	sim.advance(rateWarmUp + time.Second)
+	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
+		if row, ok := e.Writes[0].Value.(JobRow); ok && row.ID == jobA {
+			return commitLate
+		}
+		return commitAnswered
+	}
+	sim.submit(sim.hosts[1], jobA, wideJob())
+	sim.submitMany(0x1000, 100)
+	sim.advance(commitTimeout - 250*time.Millisecond)
+	again := sim.submit(sim.hosts[1], jobA, wideJob())
+	if got := sim.answerOf(sim.hosts[1], jobB, wideJob()); got.Status != AnswerNotRun {
+		t.Fatalf("answer %+v to a new job, want not run", got)
+	}
+	sim.advance(5 * time.Second)
+	if got := sim.answers[again].Status; got == AnswerNotRun || sim.store.get(TableJobs, jobA) == nil {
+		t.Errorf("answer %v to a job that is stored later", got)
+	}
+}
