--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -377,6 +377,7 @@
 	j.SetDone(n)
 	j.remainingByStep[ref.Occurrence][ref.Step]--
 	j.remainingTasks--
+	l.meterWork(j, ref.Step)
 	l.markDirty(j)
 	if j.remainingTasks == 0 {
 		l.finishJob(j, structs.JobCompleted, "all tasks are done")
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// isOnTime reports whether a waiting job has not missed its objective.
+func (l *leaderState) isOnTime(j *job) bool {
+	d := l.describeForOrder(j, l.state.now)
+	return d.Age <= d.Objective
+}
+
 // firstWaitingOccurrence returns the first occurrence with tasks that wait for a run.
 func (j *job) firstWaitingOccurrence() int {
 	for occurrence, steps := range j.waitingByStep {
@@ -141,17 +147,30 @@
 // longestChain returns the expected run time of the longest chain of those steps that a
 // condition holds for.
 func (o *jobOrder) longestChain(j *job, counts func(step int) bool) time.Duration {
-	ends := slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
-	o.ends = ends
+	o.ends = slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
+	return longestChain(j.Steps, o.ends, func(step int) time.Duration {
+		if !counts(step) {
+			return 0
+		}
+		return j.expectedRunTime(step)
+	})
+}
+
+// criticalPath returns the declared run time of the longest chain of dependent steps.
+func criticalPath(steps []structs.Step) time.Duration {
+	return longestChain(steps, make([]time.Duration, len(steps)), func(step int) time.Duration { return steps[step].Estimate })
+}
+
+// longestChain returns the run time of the longest chain of dependent steps. It uses ends,
+// which has an element for each step.
+func longestChain(steps []structs.Step, ends []time.Duration, runTime func(step int) time.Duration) time.Duration {
 	var longest time.Duration
-	for i := range j.Steps {
+	for i := range steps {
 		ends[i] = 0
-		for _, a := range j.Steps[i].After {
+		for _, a := range steps[i].After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		if counts(i) {
-			ends[i] += j.expectedRunTime(i)
-		}
+		ends[i] += runTime(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
