colocation: the model of interference and the decisions by it in a package of their own

core/scheduler held the estimates of how best-effort tasks slow down serving tasks, the decisions by them and the commands that carry these out in one place. The estimates and decisions move to core/colocation, which takes plain values and imports nothing of core/scheduler. No decision changes.

--- /dev/null
+++ b/core/colocation/admit.go
@@ -0,0 +1,27 @@
+package colocation
+
+// placementMargin is utilization that placement keeps free for load fluctuations.
+const placementMargin = 0.05
+
+// Tolerates reports whether the serving tasks meet their targets with one more
+// best-effort task. It also returns the least utilization that any of them has to spare
+// at the peak of its load, which may be negative.
+func (w *Worker) Tolerates(image ImageID, milliCores int64) (bool, float64) {
+	m, share, headroom := w.Model, w.cpuShare(milliCores), 1.0
+	for _, s := range w.Serving {
+		contention := s.contention + m.PressureOn(s.Image, image).Value*share
+		limit := m.safeUtilization(s) - placementMargin
+		if s.Load.utilization+contention > limit {
+			return false, 0
+		}
+		headroom = min(headroom, limit-s.Load.expectedPeak()-contention)
+	}
+	return true, headroom
+}
+
+// ToleratesStarved reports whether a best-effort task of a starved job may run although it
+// may disturb serving tasks: none is disturbed now, and the worker does not have tasks of
+// both kinds already.
+func (w *Worker) ToleratesStarved() bool {
+	return w.WorstTailRatio() < lowTailRatio && !w.Shared()
+}
--- /dev/null
+++ b/core/colocation/guard.go
@@ -0,0 +1,60 @@
+package colocation
+
+import "time"
+
+const (
+	// lowTailRatio is the ratio of a serving task's tail latency to its target below
+	// which best-effort tasks are assumed not to disturb it.
+	lowTailRatio = 0.7
+	// throttleDelay is how long a serving task may miss its target before all
+	// best-effort tasks on the worker are throttled, whatever the estimates say.
+	throttleDelay = time.Second
+	// ThrottleHoldTime is the least time between changes of a speed limit: a command
+	// takes effect after 0.1 s, and gauges cover the last half second.
+	ThrottleHoldTime = 700 * time.Millisecond
+	// speedRaiseDelay is how long tail latencies must be low before the limit is raised.
+	speedRaiseDelay = time.Second
+)
+
+// Guard is the speed limit for all best-effort tasks of one worker, which follows the
+// measured tail latencies whatever the estimates say.
+type Guard struct {
+	SpeedLimit  int // percent
+	changedAt   time.Duration
+	lowSince    time.Duration // 0: a tail latency is not low
+	missedSince time.Duration // 0: no target is missed
+}
+
+// NewGuard returns a guard that slows nothing down.
+func NewGuard() Guard { return Guard{SpeedLimit: FullSpeed} }
+
+// Update changes the limit by the worst ratio of a tail latency to its target, and
+// reports whether it did.
+func (g *Guard) Update(worst float64, now time.Duration) bool {
+	trackSince(&g.lowSince, worst < lowTailRatio, now)
+	trackSince(&g.missedSince, worst >= 1, now)
+	index := speedLimitIndex(g.SpeedLimit)
+	switch {
+	case now-g.changedAt < ThrottleHoldTime:
+	case g.missedSince > 0 && now-g.missedSince >= throttleDelay:
+		index--
+	case g.lowSince > 0 && now-g.lowSince >= speedRaiseDelay:
+		index++
+	}
+	limit := SpeedLimits[min(max(index, 0), len(SpeedLimits)-1)]
+	if limit == g.SpeedLimit {
+		return false
+	}
+	g.SpeedLimit, g.changedAt = limit, now
+	return true
+}
+
+// trackSince sets *at to the time since which a condition holds, or 0 while it does not.
+func trackSince(at *time.Duration, holds bool, now time.Duration) {
+	switch {
+	case !holds:
+		*at = 0
+	case *at == 0:
+		*at = now
+	}
+}
--- /dev/null
+++ b/core/colocation/load.go
@@ -0,0 +1,42 @@
+package colocation
+
+import "time"
+
+const (
+	// loadDriftVariance is the variance that a serving task's load gains per second.
+	loadDriftVariance = 0.0072
+	// peakDecay is how much the recorded peak of a load falls per second.
+	peakDecay = 0.005
+)
+
+// Load is the estimated utilization that users cause on each task of a serving step.
+// The users of a step are spread evenly over its tasks. The zero value is not known.
+type Load struct {
+	utilization, variance float64
+	peak                  float64 // highest utilization, which falls with peakDecay
+	updatedAt             time.Duration
+}
+
+// expectedPeak returns the highest utilization from the task's own load to expect
+// during the run of a best-effort task.
+func (o *Load) expectedPeak() float64 { return max(o.utilization, o.peak) }
+
+// advance accounts for the time since the last measurement, and starts from a measured
+// utilization if there was none. It returns the time in seconds.
+func (o *Load) advance(measured float64, now time.Duration) float64 {
+	if o.updatedAt == 0 {
+		*o = Load{utilization: measured, variance: priorVariance, updatedAt: now}
+	}
+	elapsed := (now - o.updatedAt).Seconds()
+	o.variance += loadDriftVariance * elapsed
+	o.updatedAt = now
+	return elapsed
+}
+
+// correct applies the part of a correction that is due to the load. The variance is that of the whole
+// measurement.
+func (o *Load) correct(correction, variance, elapsed float64) {
+	o.utilization = min(max(o.utilization+o.variance*correction, 0), maxUtilization)
+	o.variance -= o.variance * o.variance / variance
+	o.peak = max(o.utilization, o.peak-peakDecay*elapsed)
+}
--- a/core/scheduler/advice.go
+++ b/core/scheduler/advice.go
@@ -128,7 +128,7 @@
 	}
 	var candidates []scored
 	known := l.advice.steps[f.key]
-	image := l.interference.imageIDOf(f.step.Image)
+	image := l.imageOf(f.step)
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
 		if known != nil && known.denied[id] || !holds(w) {
--- a/core/scheduler/commititems.go
+++ b/core/scheduler/commititems.go
@@ -93,7 +93,7 @@
 		return
 	}
 	l.pressuresWrittenAt = l.state.now
-	row := l.interference.row(l.state.bounds.rowLimit())
+	row := pressuresRow(l.interference, l.state.bounds.rowLimit())
 	if len(row.Pairs) > 0 {
 		list.add(commitItem{kind: itemPressures, write: Write{TableControl, l.shard.partition(), KeyPressures, row}})
 	}
--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -25,5 +25,6 @@
 //
 // Two kinds of tasks share a worker. Serving tasks have a target for their tail
 // latency. Best-effort tasks use the CPU that other tasks leave idle; they are
-// moved or throttled when a serving task is about to miss its target.
+// moved or throttled when a serving task is about to miss its target. How much of
+// them a worker takes is decided in core/colocation; throttle.go carries it out.
 package scheduler
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "github.com/tamarackstep/tamarackstep/core/colocation"
+
 // What the leader knows of the incarnations of a worker. Only lists of runs, the answers to
 // syncs, certainly name the incarnation that answers; entries, clocks and addresses do not
 // prove anything about it.
@@ -29,7 +31,7 @@
 	w.incarnation, w.listsRead, w.moreEnded = incarnation, false, false
 	w.acks = ackState{inFlight: w.acks.inFlight}
 	w.sentLeaseEnd, w.clockMS = 0, 0
-	w.throttle = throttleState{speedLimit: fullSpeed}
+	w.guard = colocation.NewGuard()
 	w.record.failures = nil
 	w.refuseLateStarts()
 	w.syncSoon()
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -44,7 +45,7 @@
 	lastRunEndedAt     Instant // when the last run ended
 	roomKeptUntil      Instant // until when room is kept for it on a worker
 
-	loads []*load // of serving steps, by occurrence and step
+	loads []*colocation.Load // of serving steps, by occurrence and step
 
 	storedState structs.JobState // last state written to the store
 	finalAt     Instant
@@ -136,13 +137,13 @@
 }
 
 // stepLoad returns the estimated load of the tasks of a step.
-func (j *job) stepLoad(ref structs.TaskRef) *load {
+func (j *job) stepLoad(ref structs.TaskRef) *colocation.Load {
 	if j.loads == nil {
-		j.loads = make([]*load, len(j.remainingByStep)*len(j.Steps))
+		j.loads = make([]*colocation.Load, len(j.remainingByStep)*len(j.Steps))
 	}
 	at := ref.Occurrence*len(j.Steps) + ref.Step
 	if j.loads[at] == nil {
-		j.loads[at] = &load{}
+		j.loads[at] = &colocation.Load{}
 	}
 	return j.loads[at]
 }
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -51,7 +52,7 @@
 	loadedGroups   map[structs.JobID]map[string]ProgressGroupRow // further rows of it, by key
 
 	commits            commitState
-	interference       *interferenceModel
+	interference       *colocation.Model
 	schedule           scheduleState
 	starts             startWindow
 	advice             adviceState
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -74,8 +75,8 @@
 	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || f.yieldsKeptRoom()) {
 		return false
 	}
-	return !f.step.BestEffort || w.throttle.speedLimit == fullSpeed && w.idleMilliCores() >= f.step.Request.MilliCores ||
-		f.job.starved(f.leader.state.now) && w.acceptsStarvedJob()
+	return !f.step.BestEffort || w.guard.SpeedLimit == fullSpeed && w.idleMilliCores() >= f.step.Request.MilliCores ||
+		f.job.starved(f.leader.state.now) && w.colocated.ToleratesStarved()
 }
 
 // yieldsKeptRoom reports whether tasks of the step wait where room is kept for another
@@ -147,43 +148,21 @@
 	return step.Request.MilliCores
 }
 
-// acceptsStarvedJob reports whether a best-effort task of a starved job may run on
-// the worker although it may disturb serving tasks: none is disturbed now, and the
-// worker does not already run both kinds of tasks.
-func (w *worker) acceptsStarvedJob() bool {
-	return w.worstTailRatio() < lowTailRatio && !w.isShared()
-}
-
-// sameImageShare returns the share of the worker's serving tasks that have an image.
-// Best-effort tasks find more room on workers with few serving images.
-func (w *worker) sameImageShare(image imageID) float64 {
-	if len(w.serving) == 0 {
-		return 0
-	}
-	same := 0
-	for _, r := range w.serving {
-		if r.image == image {
-			same++
-		}
-	}
-	return float64(same) / float64(len(w.serving))
-}
-
 // score rates a worker that passed the filter; higher is better. It spreads load,
 // groups serving tasks by image, and penalizes workers outside the rack with the
 // task's data. It returns false if a best-effort task would disturb serving tasks.
-func (l *leaderState) score(w *worker, j *job, step *structs.Step, image imageID) (float64, bool) {
+func (l *leaderState) score(w *worker, j *job, step *structs.Step, image colocation.ImageID) (float64, bool) {
 	capacity := float64(max(w.entry.Capacity.MilliCores, 1))
 	var score float64
 	switch {
 	case step.BestEffort:
-		tolerated, headroom := w.tolerates(image, step.Request.MilliCores)
-		if !tolerated && !(j.starved(l.state.now) && w.acceptsStarvedJob()) {
+		tolerated, headroom := w.colocated.Tolerates(image, step.Request.MilliCores)
+		if !tolerated && !(j.starved(l.state.now) && w.colocated.ToleratesStarved()) {
 			return 0, false
 		}
-		score = float64(w.idleMilliCores())/capacity - tailWeight*w.worstTailRatio() + headroomWeight*headroom
+		score = float64(w.idleMilliCores())/capacity - tailWeight*w.colocated.WorstTailRatio() + headroomWeight*headroom
 	case step.TailTarget > 0:
-		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores)/capacity + imageWeight*w.sameImageShare(image)
+		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores)/capacity + imageWeight*w.colocated.SameImageShare(image)
 	default:
 		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores) / capacity
 	}
@@ -237,7 +216,7 @@
 func (l *leaderState) packGang(j *job, occurrence, stepIndex int, label string) []*worker {
 	f := l.newStepFilter(j, stepKey{j.ID, occurrence, stepIndex})
 	step := f.step
-	image := l.interference.imageIDOf(step.Image)
+	image := l.imageOf(step)
 	reserved := make(map[*worker]structs.Resources)
 	members := make(map[*worker]int)
 	var workers []*worker
--- a/core/scheduler/ranking.go
+++ b/core/scheduler/ranking.go
@@ -62,7 +62,7 @@
 		return 0, false
 	}
 	l.schedule.scoredWorkers++
-	return l.score(w, f.job, f.step, l.interference.imageIDOf(f.step.Image))
+	return l.score(w, f.job, f.step, l.imageOf(f.step))
 }
 
 // best returns the best worker for a task, or nil. The workers to avoid are used
--- a/core/scheduler/reject_test.go
+++ b/core/scheduler/reject_test.go
@@ -151,15 +151,14 @@
 // with the images, workers, queues or labels that other programs name.
 func TestRowsStayWithinLimit(t *testing.T) {
 	long := func(i int) string { return fmt.Sprintf("%s-%d", strings.Repeat("n", 190), i) }
-	m := newInterference(PressuresRow{})
+	var learned PressuresRow
 	for i := range 100 {
-		id := m.imageIDOf(long(i))
-		m.baseTailsMS[id] = 5
+		learned.Bases = append(learned.Bases, BaseTailEntry{long(i), 5})
 		for k := range 100 {
-			*m.estimateFor(id, imageID(k)) = pressure{1, float64(100*i+k+1) / 1e4}
+			learned.Pairs = append(learned.Pairs, PressureEntry{long(i), long(k), 1, float64(100*i+k+1) / 1e4})
 		}
 	}
-	pressures := m.row(fakeMaxRowBytes)
+	pressures := pressuresRow(newInterference(learned), fakeMaxRowBytes)
 	if got := rowBytes(pressures); got > fakeMaxRowBytes || len(pressures.Pairs) == 0 || pressures.Pairs[0].Variance != 1e-4 {
 		t.Errorf("pressures of %d bytes with %d pairs", got, len(pressures.Pairs))
 	}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -49,9 +50,9 @@
 	speedLimit       int     // percent, as last sent
 	throttleInFlight bool
 
-	image      imageID
-	load       *load   // of a serving task
-	contention float64 // utilization that best-effort tasks on its worker add at full speed
+	image   colocation.ImageID
+	serving *colocation.Serving    // nil: it has no target for its tail latency
+	filling *colocation.BestEffort // nil: it is not a best-effort task
 }
 
 type runKey struct {
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -92,7 +92,7 @@
 	switch {
 	case !w.runsFiniteTask() || !w.listsRead || w.moreEnded || w.acks.due():
 		return 0
-	case w.isShared():
+	case w.colocated.Shared():
 		return sharedSyncWait
 	}
 	return syncWait
--- a/core/scheduler/throttle.go
+++ b/core/scheduler/throttle.go
@@ -5,110 +5,53 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 const (
-	fullSpeed    = 100 // percent
-	unknownSpeed = -1  // of an adopted run: the former leader may have throttled it
-	// lowTailRatio is the ratio of a serving task's tail latency to its target below
-	// which best-effort tasks are assumed not to disturb it.
-	lowTailRatio = 0.7
-	// throttleDelay is how long a serving task may miss its target before all
-	// best-effort tasks on the worker are throttled, whatever the estimates say.
-	throttleDelay = time.Second
-	// throttleHoldTime is the least time between changes of a speed limit: a command
-	// takes effect after 0.1 s, and gauges cover the last half second.
-	throttleHoldTime = 700 * time.Millisecond
-	// speedRaiseDelay is how long tail latencies must be low before the limit is raised.
-	speedRaiseDelay = time.Second
+	fullSpeed    = colocation.FullSpeed // percent
+	unknownSpeed = -1                   // of an adopted run: the former leader may have throttled it
+	// minTimeBeforeMove is how long a best-effort task must have run before it is
+	// moved: gauges cover the last half second.
+	minTimeBeforeMove = 300 * time.Millisecond
 	// evictDelay is how long best-effort tasks are paused before they are moved.
 	evictDelay = time.Second
 	// stallTimeout is how long a run may make no progress before it is moved.
 	stallTimeout = 2500 * time.Millisecond
 )
 
-// speedLimits are the speed limits of best-effort tasks, in percent of full speed.
-var speedLimits = [...]int{0, 30, 60, fullSpeed}
-
-// throttleState is the speed limit for all best-effort tasks of one worker.
-type throttleState struct {
-	speedLimit  int
-	changedAt   Instant
-	lowSince    Instant // 0: a tail latency is not low
-	missedSince Instant // 0: no target is missed
-}
-
-// isShared reports whether the worker has both serving and best-effort tasks.
-func (w *worker) isShared() bool { return len(w.serving) > 0 && len(w.bestEffort) > 0 }
-
-// worstTailRatio returns the highest ratio of a serving task's tail latency to its
-// target.
-func (w *worker) worstTailRatio() float64 {
-	var worst float64
-	for _, r := range w.serving {
-		if r.phase == phaseRunning {
-			tail := time.Duration(r.gauge) * time.Millisecond
-			worst = max(worst, float64(tail)/float64(r.step.TailTarget))
-		}
-	}
-	return worst
-}
-
 // updateThrottle protects serving tasks. Best-effort tasks are moved or throttled
 // by the estimates for their images; if a target is still missed, all of them are
 // throttled, whatever the estimates say.
 func (w *worker) updateThrottle() {
-	w.observeInterference()
-	t := &w.throttle
-	now := w.leader.state.now
-	worst := w.worstTailRatio()
-	trackSince(&t.lowSince, worst < lowTailRatio, now)
-	trackSince(&t.missedSince, worst >= 1, now)
-	index := speedLimitIndex(t.speedLimit)
-	switch {
-	case now-t.changedAt < throttleHoldTime:
-	case t.missedSince > 0 && now-t.missedSince >= throttleDelay:
-		index--
-	case t.lowSince > 0 && now-t.lowSince >= speedRaiseDelay:
-		index++
+	w.observeColocated()
+	worst := w.colocated.WorstTailRatio()
+	if w.guard.Update(worst, w.leader.state.now) && w.colocated.Shared() {
+		w.leader.state.logDecision(Decision{Part: "worker", Action: "pace of filling tasks set", Subject: string(w.id), Number: uint64(w.guard.SpeedLimit), Reason: tailRatioText(worst)})
 	}
-	w.setSpeedLimit(speedLimits[min(max(index, 0), len(speedLimits)-1)], worst)
 	w.applySpeedLimits()
 	w.evictPausedRuns()
 }
 
-func (w *worker) setSpeedLimit(limit int, worst float64) {
-	if limit == w.throttle.speedLimit {
-		return
-	}
-	w.throttle.speedLimit, w.throttle.changedAt = limit, w.leader.state.now
-	if w.isShared() {
-		w.leader.state.logDecision(Decision{Part: "worker", Action: "pace of filling tasks set", Subject: string(w.id), Number: uint64(limit), Reason: tailRatioText(worst)})
-	}
-}
-
-// applySpeedLimits sends the speed limit of each best-effort task. A limit is
-// lowered at once, and raised only if raiseMargin remains free.
+// applySpeedLimits moves best-effort tasks, and sends the speed limit of each one. A
+// limit is lowered at once, and raised only if colocation.RaiseMargin remains free.
 func (w *worker) applySpeedLimits() {
 	if len(w.bestEffort) == 0 {
 		return
 	}
-	limits := w.limitContention(0)
-	withMargin := limits
-	for i, b := range w.bestEffort {
-		if b.speedLimit < limits[i] {
-			withMargin = w.limitContention(raiseMargin)
-			break
+	relief := w.colocated.Relieve(w.guard.SpeedLimit, 0, func(i int) bool { return w.canMove(w.bestEffort[i]) })
+	withMargin := w.raisedLimits(relief)
+	for i, b := range slices.Clone(w.bestEffort) {
+		if relief[i].Move {
+			w.leader.moveRun(b, "disturbs serving tasks")
 		}
-	}
-	for i, b := range w.bestEffort {
 		if b.phase != phaseRunning || b.throttleInFlight {
 			continue
 		}
-		limit := limits[i]
+		limit := relief[i].SpeedLimit
 		if b.speedLimit != unknownSpeed && limit > b.speedLimit {
-			if limit = max(b.speedLimit, withMargin[i]); w.leader.state.now-b.speedLimitSetAt < throttleHoldTime {
+			if limit = max(b.speedLimit, withMargin[i].SpeedLimit); w.leader.state.now-b.speedLimitSetAt < colocation.ThrottleHoldTime {
 				continue
 			}
 		}
@@ -118,6 +61,23 @@
 	}
 }
 
+// raisedLimits returns the limits up to which best-effort tasks may be raised, if any may.
+func (w *worker) raisedLimits(relief []colocation.Relief) []colocation.Relief {
+	for i, b := range w.bestEffort {
+		if b.speedLimit < relief[i].SpeedLimit {
+			return w.colocated.Relieve(w.guard.SpeedLimit, colocation.RaiseMargin, func(int) bool { return false })
+		}
+	}
+	return relief
+}
+
+// canMove reports whether a best-effort task has run for long enough to be moved, and
+// another worker tolerates it.
+func (w *worker) canMove(b *run) bool {
+	settled := b.phase == phaseRunning && w.leader.state.now-b.confirmedAt >= minTimeBeforeMove
+	return settled && w.leader.pick(b.job, b.ref, b.job.taskAt(b.ref)) != nil
+}
+
 // trackSince sets *at to the time since which a condition holds, or 0 while it does
 // not hold.
 func trackSince(at *Instant, holds bool, now Instant) {
@@ -129,16 +89,6 @@
 	}
 }
 
-// speedLimitIndex returns the index of the lowest of speedLimits that is at least limit.
-func speedLimitIndex(limit int) int {
-	for i, v := range speedLimits {
-		if v >= limit {
-			return i
-		}
-	}
-	return len(speedLimits) - 1
-}
-
 func tailRatioText(worst float64) string {
 	return "worst tail at " + strconv.Itoa(int(100*worst)) + "% of its target"
 }
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -43,8 +44,8 @@
 	runs           map[runKey]*run
 	reserved       structs.Resources // by its runs
 	usedMilliCores int64             // CPU that its runs are assumed to use
-	serving        []*run            // runs with a target for their tail latency
-	bestEffort     []*run            // runs that use idle CPU
+	colocated      colocation.Worker // the serving and best-effort tasks that share its CPU
+	bestEffort     []*run            // runs that use idle CPU, in the order of colocated
 
 	acks ackState // of the ends that its incarnation lists
 
@@ -55,7 +56,7 @@
 	quarantinedUntil  Instant
 	record            failureRecord
 
-	throttle throttleState
+	guard colocation.Guard
 }
 
 // applyWorkerRows applies rows of the platform's list of workers.
@@ -136,6 +137,7 @@
 		l.commits.usedWorkersChanged = true
 	}
 	w.entry, w.listed = e, true
+	w.colocated.MilliCores = e.Capacity.MilliCores
 	if changed && l.isLoaded() {
 		w.syncSoon()
 	}
@@ -152,8 +154,8 @@
 	if w := l.workers[id]; w != nil {
 		return w
 	}
-	w := &worker{leader: l, id: id, runs: make(map[runKey]*run)}
-	w.throttle.speedLimit = fullSpeed
+	w := &worker{leader: l, id: id, runs: make(map[runKey]*run), guard: colocation.NewGuard()}
+	w.colocated.Model = l.interference
 	l.workers[id] = w
 	at, _ := slices.BinarySearch(l.workerIDs, id)
 	l.workerIDs = slices.Insert(l.workerIDs, at, id)
@@ -165,17 +167,7 @@
 	w.reserved = w.reserved.Add(reservation(r.step))
 	w.usedMilliCores += expectedMilliCores(r.step)
 	r.job.activeRuns++
-	r.image = w.leader.interference.imageIDOf(r.step.Image)
-	switch {
-	case r.step.TailTarget > 0:
-		r.load = r.job.stepLoad(r.ref)
-		w.serving = append(w.serving, r)
-	case r.step.BestEffort:
-		w.bestEffort = append(w.bestEffort, r)
-	default:
-		return
-	}
-	w.updateContention()
+	w.addColocated(r)
 }
 
 func (w *worker) removeRun(r *run) {
@@ -187,9 +179,8 @@
 	w.usedMilliCores -= expectedMilliCores(r.step)
 	r.job.activeRuns--
 	r.job.lastRunEndedAt = w.leader.state.now
-	same := func(o *run) bool { return o == r }
-	w.serving, w.bestEffort = slices.DeleteFunc(w.serving, same), slices.DeleteFunc(w.bestEffort, same)
-	w.updateContention()
+	w.bestEffort = slices.DeleteFunc(w.bestEffort, func(o *run) bool { return o == r })
+	w.colocated.Remove(r.serving, r.filling)
 }
 
 // sortedRuns returns the runs in a fixed order.
