colocation: a pair of images that was not seen takes its estimate from the image's other pairs

What a best-effort image does to some serving images tells something about what it does to the others. A pair without any observation started from one prior for all pairs, so that each heavy image was found out once for every serving image, at the cost of serving tasks and of moves.

--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -16,6 +16,7 @@
 	images      []string
 	baseTailsMS []float64    // by serving image: tail latency without any load; 0: not known
 	pressures   [][]Pressure // by serving and best-effort image
+	expected    []Pressure   // by best-effort image: of a pair without any observation; zero: not computed
 }
 
 // ImageID numbers an image in the order of its first use in a model.
@@ -38,15 +39,19 @@
 	Pressure
 }
 
-// priorEstimate is assumed for a pair without any observation.
-var priorEstimate = Pressure{priorPressure, priorVariance}
+// unknown stands for a pair without any observation.
+var unknown = Pressure{priorPressure, priorVariance}
 
 const (
-	// priorPressure and priorVariance describe a pair without any observation: most
-	// pairs interfere little, some add twice their share of CPU as utilization.
+	// priorPressure and priorVariance describe a best-effort image without any
+	// observation: most interfere little, some add twice their share of CPU as
+	// utilization.
 	priorPressure = 0.8
 	priorVariance = 0.7 * 0.7
-	maxPressure   = 4.0
+	// pairVariance is the variance of the pressures of one best-effort image on
+	// different serving images.
+	pairVariance = 0.5 * 0.5
+	maxPressure  = 4.0
 	// minVariance keeps an estimate open to change: pressures change within seconds.
 	minVariance = 0.004
 	// utilizationStdErr is the standard error of a utilization derived from a
@@ -65,7 +70,7 @@
 		m.baseTailsMS[m.ImageIDOf(b.Image)] = b.TailMS
 	}
 	for _, p := range pairs {
-		*m.Estimate(m.ImageIDOf(p.Serving), m.ImageIDOf(p.BestEffort)) = p.Pressure
+		m.Set(m.ImageIDOf(p.Serving), m.ImageIDOf(p.BestEffort), p.Pressure)
 	}
 	return m
 }
@@ -78,6 +83,7 @@
 		m.ids[name] = id
 		m.images = append(m.images, name)
 		m.baseTailsMS, m.pressures = append(m.baseTailsMS, 0), append(m.pressures, nil)
+		m.expected = append(m.expected, Pressure{})
 	}
 	return id
 }
@@ -94,7 +100,7 @@
 	var pairs []Pair
 	for serving, row := range m.pressures {
 		for bestEffort, p := range row {
-			if p != priorEstimate {
+			if p != unknown {
 				pairs = append(pairs, Pair{m.images[serving], m.images[bestEffort], p})
 			}
 		}
@@ -105,21 +111,47 @@
 
 // PressureOn returns the estimate for a best-effort image on a serving image.
 func (m *Model) PressureOn(serving, bestEffort ImageID) Pressure {
-	if row := m.pressures[serving]; int(bestEffort) < len(row) {
+	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unknown {
 		return row[bestEffort]
 	}
-	return priorEstimate
+	return m.expectedOf(bestEffort)
 }
 
-// Estimate returns the estimate for a pair, to be changed. The pointer is valid until the
+// expectedOf returns the estimate for a best-effort image on a serving image beside which
+// it has not run: what it does to other serving images tells something about it.
+func (m *Model) expectedOf(bestEffort ImageID) Pressure {
+	if p := m.expected[bestEffort]; p != (Pressure{}) {
+		return p
+	}
+	const ownWeight = 1 / (priorVariance - pairVariance)
+	weight, sum := ownWeight, ownWeight*priorPressure
+	for _, row := range m.pressures {
+		if int(bestEffort) < len(row) && row[bestEffort] != unknown {
+			w := 1 / (row[bestEffort].Variance + pairVariance)
+			weight, sum = weight+w, sum+w*row[bestEffort].Value
+		}
+	}
+	m.expected[bestEffort] = Pressure{sum / weight, 1/weight + pairVariance}
+	return m.expected[bestEffort]
+}
+
+// estimate returns the estimate for a pair, to be changed. The pointer is valid until the
 // next call.
-func (m *Model) Estimate(serving, bestEffort ImageID) *Pressure {
+func (m *Model) estimate(serving, bestEffort ImageID) *Pressure {
 	for int(bestEffort) >= len(m.pressures[serving]) {
-		m.pressures[serving] = append(m.pressures[serving], priorEstimate)
+		m.pressures[serving] = append(m.pressures[serving], unknown)
+	}
+	p := &m.pressures[serving][bestEffort]
+	if *p == unknown {
+		*p = m.expectedOf(bestEffort)
 	}
-	return &m.pressures[serving][bestEffort]
+	m.expected[bestEffort] = Pressure{}
+	return p
 }
 
+// Set replaces the estimate for a pair.
+func (m *Model) Set(serving, bestEffort ImageID, p Pressure) { *m.estimate(serving, bestEffort) = p }
+
 // utilizationOf returns the utilization that follows from a tail latency, and its
 // variance. Base and tail are in milliseconds.
 func utilizationOf(base, tail float64) (utilization, variance float64) {
--- a/core/colocation/worker.go
+++ b/core/colocation/worker.go
@@ -111,14 +111,17 @@
 	elapsed := s.Load.advance(measured, now)
 	expected, variance := s.Load.utilization, s.Load.variance+noise
 	for _, b := range w.BestEffort {
-		p, share := m.Estimate(s.Image, b.Image), w.cpuShare(b.Used)
+		p, share := m.PressureOn(s.Image, b.Image), w.cpuShare(b.Used)
 		expected += p.Value * share
 		variance += p.Variance * share * share
 	}
 	correction := (measured - expected) / variance
 	s.Load.correct(correction, variance, elapsed)
 	for _, b := range w.BestEffort {
-		p, share := m.Estimate(s.Image, b.Image), w.cpuShare(b.Used)
+		if b.Used == 0 {
+			continue // it shows nothing
+		}
+		p, share := m.estimate(s.Image, b.Image), w.cpuShare(b.Used)
 		p.Value = min(max(p.Value+p.Variance*share*correction, 0), maxPressure)
 		p.Variance = max(p.Variance-math.Pow(p.Variance*share, 2)/variance, minVariance)
 	}
--- a/core/scheduler/interference_test.go
+++ b/core/scheduler/interference_test.go
@@ -77,7 +77,7 @@
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	learned := sim.leader().state.leaderOf(0).interference
-	*learned.Estimate(learned.ImageIDOf("web"), learned.ImageIDOf("noisy")) = colocation.Pressure{Value: 2, Variance: 0.01}
+	learned.Set(learned.ImageIDOf("web"), learned.ImageIDOf("noisy"), colocation.Pressure{Value: 2, Variance: 0.01})
 	sim.advance(pressuresInterval + time.Second)
 	sim.leader().kill()
 	sim.advance(5 * time.Second)
