colocation: pace best-effort tasks before they are moved, and start them by the peak of the load

Former: each overload of a serving task moved the best-effort task that contends most, at any excess, and a start was admitted by the present load alone. Now the task that contends most by its work is slowed down as far as necessary in steps of a tenth; it is moved only where that ends it sooner, counting the work that a stop loses. A start is admitted by a load half way to its peak.

--- a/core/colocation/admit.go
+++ b/core/colocation/admit.go
@@ -11,7 +11,7 @@
 	for _, s := range w.Serving {
 		contention := s.contention + m.PressureOn(s.Image, image).Value*share
 		limit := m.safeUtilization(s) - placementMargin
-		if s.Load.utilization+contention > limit {
+		if s.Load.expectedRise()+contention > limit {
 			return false, 0
 		}
 		headroom = min(headroom, limit-s.Load.expectedPeak()-contention)
--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -7,6 +7,9 @@
 	loadDriftVariance = 0.0072
 	// peakDecay is how much the recorded peak of a load falls per second.
 	peakDecay = 0.005
+	// riseShare is the share of the way to its recorded peak that a load is expected to
+	// rise while a best-effort task runs.
+	riseShare = 0.5
 )
 
 // Load is the estimated utilization that users cause on each task of a serving step.
@@ -21,6 +24,12 @@
 // during the run of a best-effort task.
 func (o *Load) expectedPeak() float64 { return max(o.utilization, o.peak) }
 
+// expectedRise returns the utilization to expect from the task's own load at the end of a
+// best-effort task that starts now: between the present one and the peak.
+func (o *Load) expectedRise() float64 {
+	return o.utilization + riseShare*(o.expectedPeak()-o.utilization)
+}
+
 // advance accounts for the time since the last measurement, and starts from a measured
 // utilization if there was none. It returns the time in seconds.
 func (o *Load) advance(measured float64, now time.Duration) float64 {
--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -1,7 +1,9 @@
 package colocation
 
-// SpeedLimits are the speed limits of best-effort tasks, in percent of full speed.
-var SpeedLimits = [...]int{0, 30, 60, FullSpeed}
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minContention is the least contention for which tasks are moved or throttled.
@@ -9,6 +11,14 @@
 	// RaiseMargin is utilization that must remain free after a speed limit is raised, so
 	// that it is not lowered again at once.
 	RaiseMargin = 0.05
+	// reliefMargin is utilization that is kept free once a limit has to be lowered, so that
+	// it is lowered once.
+	reliefMargin = 0.03
+	// speedStep separates speed limits, in percent.
+	speedStep = 10
+	// restartTime is how long a task that is moved waits for its next start and for its
+	// saved work to be read there.
+	restartTime = time.Second
 )
 
 // Relief is what to do with one best-effort task.
@@ -18,10 +28,11 @@
 }
 
 // Relieve protects serving tasks that are about to miss their targets: the best-effort
-// task that causes most contention is moved if there is a worker that tolerates it, else
-// slowed down. It returns what to do with each best-effort task, none of which may exceed
-// a speed limit. The margin is kept free. movable tells whether a best-effort task can be
-// moved.
+// task that causes most contention by the work that it does is slowed down as far as
+// necessary. It is moved instead if there is a worker that tolerates it and it ends sooner
+// so. Relieve returns what to do with each best-effort task, none of which may exceed a
+// speed limit. The margin is kept free. movable tells whether a best-effort task can be
+// moved; nil: none can.
 func (w *Worker) Relieve(speedLimit int, margin float64, movable func(bestEffort int) bool) []Relief {
 	out := make([]Relief, len(w.BestEffort))
 	for i, b := range w.BestEffort {
@@ -30,25 +41,43 @@
 		}
 	}
 	for {
-		s := w.mostOverloaded(out, margin)
+		s, over := w.mostOverloaded(out, margin)
 		if s == nil {
 			return out
 		}
-		at, ok := w.largestContributor(s, out)
-		switch {
-		case !ok:
+		at, ok := w.heaviest(s, out)
+		if !ok {
 			return out
-		case movable(at):
+		}
+		b := w.BestEffort[at]
+		limit := loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed))
+		if movable != nil && b.endsSoonerElsewhere(limit) && movable(at) {
 			out[at] = Relief{Move: true}
-		default:
-			out[at].SpeedLimit = SpeedLimits[speedLimitIndex(out[at].SpeedLimit)-1]
+			continue
 		}
+		out[at].SpeedLimit = limit
+	}
+}
+
+// loweredBy returns a speed limit lowered by at least a share of full speed.
+func loweredBy(limit int, share float64) int {
+	steps := int(math.Ceil(min(share, 1) * FullSpeed / speedStep))
+	return max(limit-max(steps, 1)*speedStep, 0)
+}
+
+// endsSoonerElsewhere reports whether a task ends sooner when it is moved than at a speed
+// limit. Work that is not saved begins anew.
+func (b *BestEffort) endsSoonerElsewhere(limit int) bool {
+	elsewhere := restartTime + b.Remaining
+	if !b.Saves {
+		elsewhere += b.Worked
 	}
+	return b.Remaining*FullSpeed > elsewhere*time.Duration(limit)
 }
 
 // mostOverloaded returns the serving task whose utilization is furthest above its safe
-// utilization, or nil.
-func (w *Worker) mostOverloaded(relief []Relief, margin float64) *Serving {
+// utilization, and by how much; nil: none is above it.
+func (w *Worker) mostOverloaded(relief []Relief, margin float64) (*Serving, float64) {
 	var worst *Serving
 	var most float64
 	for _, s := range w.Serving {
@@ -64,27 +93,20 @@
 			worst, most = s, over
 		}
 	}
-	return worst
+	return worst, most
 }
 
-// largestContributor returns the best-effort task that causes most contention for a
-// serving task.
-func (w *Worker) largestContributor(s *Serving, relief []Relief) (int, bool) {
+// heaviest returns the best-effort task that causes most contention for a serving task by
+// the work that it does, among those that cause any.
+func (w *Worker) heaviest(s *Serving, relief []Relief) (int, bool) {
 	at, most := 0, 0.0
 	for i, b := range w.BestEffort {
-		if contention := w.contentionFrom(s, b, relief[i].SpeedLimit); contention > most {
-			at, most = i, contention
+		if w.contentionFrom(s, b, relief[i].SpeedLimit) < minContention/4 {
+			continue
 		}
-	}
-	return at, most >= minContention/2
-}
-
-// speedLimitIndex returns the index of the lowest of SpeedLimits that is at least limit.
-func speedLimitIndex(limit int) int {
-	for i, v := range SpeedLimits {
-		if v >= limit {
-			return i
+		if p := w.Model.PressureOn(s.Image, b.Image).Value; p > most {
+			at, most = i, p
 		}
 	}
-	return len(SpeedLimits) - 1
+	return at, most > 0
 }
--- a/core/colocation/worker.go
+++ b/core/colocation/worker.go
@@ -35,6 +35,9 @@
 	Requested int64 // millicores
 	Used      int64 // millicores, last reading
 	Stopping  bool
+	Saves     bool          // a stop saves its work
+	Worked    time.Duration // at full speed
+	Remaining time.Duration // expected at full speed
 }
 
 // AddServing adds a serving task.
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -181,7 +181,12 @@
 	if began == 0 {
 		began = r.startSentAt
 	}
-	worked := now - began
+	return r.remainingAfter(now - began)
+}
+
+// remainingAfter returns how much longer a run is expected to go on that has worked for
+// some time.
+func (r *run) remainingAfter(worked time.Duration) time.Duration {
 	if r.percent > 0 {
 		return worked * time.Duration(100-r.percent) / time.Duration(r.percent)
 	}
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -55,7 +55,7 @@
 		r.serving = &colocation.Serving{Image: r.image, TargetMS: float64(r.step.TailTarget.Milliseconds()), Load: r.job.stepLoad(r.ref)}
 		w.colocated.AddServing(r.serving)
 	case r.step.BestEffort:
-		r.filling = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores}
+		r.filling = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
 		w.colocated.AddBestEffort(r.filling)
 		w.bestEffort = append(w.bestEffort, r)
 	}
@@ -76,6 +76,8 @@
 		r.serving.TailMS, r.serving.Running, r.serving.Ready = float64(r.gauge), r.phase == phaseRunning, r.readySince > 0
 	case r.filling != nil:
 		r.filling.Used, r.filling.Stopping = r.gauge, r.phase == phaseStopping
+		r.filling.Worked = r.workedAtFullSpeed(r.worker.leader.state.now)
+		r.filling.Remaining = r.remainingAfter(r.filling.Worked)
 	}
 }
 
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -42,12 +42,13 @@
 
 	checkpoint       string // last one that the worker listed
 	percent          int
-	progressedAt     Instant // when percent last changed
-	gauge            int64   // last reading: tail latency in milliseconds of a serving task, else millicores in use
-	readySince       Instant // since when a persistent task has started up; 0: it has not
-	proven           bool    // a persistent task has worked for provenTime
-	speedLimitSetAt  Instant // when the speed limit last changed
-	speedLimit       int     // percent, as last sent
+	progressedAt     Instant       // when percent last changed
+	gauge            int64         // last reading: tail latency in milliseconds of a serving task, else millicores in use
+	readySince       Instant       // since when a persistent task has started up; 0: it has not
+	proven           bool          // a persistent task has worked for provenTime
+	speedLimitSetAt  Instant       // when the speed limit last changed
+	workedBefore     time.Duration // at full speed, until then
+	speedLimit       int           // percent, as last sent
 	throttleInFlight bool
 
 	image   colocation.ImageID
--- a/core/scheduler/throttle.go
+++ b/core/scheduler/throttle.go
@@ -65,7 +65,7 @@
 func (w *worker) raisedLimits(relief []colocation.Relief) []colocation.Relief {
 	for i, b := range w.bestEffort {
 		if b.speedLimit < relief[i].SpeedLimit {
-			return w.colocated.Relieve(w.guard.SpeedLimit, colocation.RaiseMargin, func(int) bool { return false })
+			return w.colocated.Relieve(w.guard.SpeedLimit, colocation.RaiseMargin, nil)
 		}
 	}
 	return relief
@@ -78,6 +78,16 @@
 	return settled && w.leader.pick(b.job, b.ref, b.job.taskAt(b.ref)) != nil
 }
 
+// workedAtFullSpeed returns how long a run would have taken at full speed for the work that
+// it has done.
+func (r *run) workedAtFullSpeed(now Instant) time.Duration {
+	since := now - max(r.confirmedAt, r.speedLimitSetAt)
+	if r.confirmedAt == 0 {
+		since = 0
+	}
+	return r.workedBefore + since*time.Duration(max(r.speedLimit, 0))/fullSpeed
+}
+
 // trackSince sets *at to the time since which a condition holds, or 0 while it does
 // not hold.
 func trackSince(at *Instant, holds bool, now Instant) {
@@ -102,6 +112,7 @@
 	e.ID = l.expectAnswer(func(o CommandDone) {
 		r.throttleInFlight = false
 		if o.Outcome == structs.OutcomeDone {
+			r.workedBefore = r.workedAtFullSpeed(l.state.now)
 			r.speedLimit = limit
 			r.progressedAt, r.speedLimitSetAt = l.state.now, l.state.now
 		} else {
