scheduler: what serving and best-effort tasks use of the CPU is measured, not assumed

Best-effort tasks were kept from workers by an assumed 0.55 of what serving tasks request and all of what best-effort tasks request, although the CPU was never saturated. The measured load of a serving step and, after it has settled, the gauge of a best-effort task now tell what is idle.

--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -7,6 +7,9 @@
 	loadDriftVariance = 0.0072
 	// peakDecay is how much the recorded peak of a load falls per second.
 	peakDecay = 0.005
+	// unknownCPUShare is the share of its requested CPU that a serving task is assumed to
+	// use before its load is known.
+	unknownCPUShare = 0.55
 	// riseShare is the share of the way to its recorded peak that a load is expected to
 	// rise while a best-effort task runs.
 	riseShare = 0.5
@@ -30,6 +33,14 @@
 	return o.utilization + riseShare*(o.expectedPeak()-o.utilization)
 }
 
+// CPUShare returns the share of its requested CPU that a serving task is expected to use.
+func (o *Load) CPUShare() float64 {
+	if o.updatedAt == 0 {
+		return unknownCPUShare
+	}
+	return o.utilization
+}
+
 // advance accounts for the time since the last measurement, and starts from a measured
 // utilization if there was none. It returns the time in seconds.
 func (o *Load) advance(measured float64, now time.Duration) float64 {
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -67,6 +67,7 @@
 		r.updateColocated()
 	}
 	w.colocated.Observe(w.leader.state.now)
+	w.updateUsedMilliCores()
 }
 
 // updateColocated passes on what the worker's lists show of a run.
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -2,15 +2,16 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 const (
-	// servingCPUShare is the share of its requested CPU that a serving task is
-	// assumed to use. Best-effort tasks may use the rest.
-	servingCPUShare = 0.55
+	// gaugeSettleTime is how long a run has to work at full speed before its gauge tells
+	// what it uses: a gauge covers the last half second, and the lists may be as old.
+	gaugeSettleTime = 1200 * time.Millisecond
 	// Weights of the terms of a score, relative to the share of idle CPU.
 	tailWeight     = 0.2 // of the worst ratio of a tail latency to its target
 	headroomWeight = 4.0 // of the headroom of serving tasks at the peak of their load
@@ -140,12 +141,26 @@
 // idleMilliCores returns the CPU that best-effort tasks may use.
 func (w *worker) idleMilliCores() int64 { return w.entry.Capacity.MilliCores - w.usedMilliCores }
 
-// expectedMilliCores returns the CPU that a task is assumed to use.
-func expectedMilliCores(step *structs.Step) int64 {
-	if step.TailTarget > 0 {
-		return int64(servingCPUShare * float64(step.Request.MilliCores))
+// expectedMilliCores returns the CPU that a run is expected to use, measured if it has
+// been.
+func (r *run) expectedMilliCores(now Instant) int64 {
+	request := r.step.Request.MilliCores
+	switch {
+	case r.serving != nil:
+		return int64(r.serving.Load.CPUShare() * float64(request))
+	case r.filling != nil && r.speedLimit == fullSpeed && now-max(r.confirmedAt, r.speedLimitSetAt) >= gaugeSettleTime && r.gauge > 0:
+		return min(r.gauge, request)
+	}
+	return request
+}
+
+// updateUsedMilliCores adds up the CPU that the worker's runs are expected to use.
+func (w *worker) updateUsedMilliCores() {
+	w.usedMilliCores = 0
+	for _, r := range w.runs {
+		r.usedMilliCores = r.expectedMilliCores(w.leader.state.now)
+		w.usedMilliCores += r.usedMilliCores
 	}
-	return step.Request.MilliCores
 }
 
 // score rates a worker that passed the filter; higher is better. It spreads load,
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -47,6 +47,7 @@
 	readySince       Instant       // since when a persistent task has started up; 0: it has not
 	proven           bool          // a persistent task has worked for provenTime
 	speedLimitSetAt  Instant       // when the speed limit last changed
+	usedMilliCores   int64         // CPU that it is expected to use
 	workedBefore     time.Duration // at full speed, until then
 	speedLimit       int           // percent, as last sent
 	throttleInFlight bool
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -43,7 +43,7 @@
 
 	runs           map[runKey]*run
 	reserved       structs.Resources // by its runs
-	usedMilliCores int64             // CPU that its runs are assumed to use
+	usedMilliCores int64             // CPU that its runs are expected to use
 	colocated      colocation.Worker // the serving and best-effort tasks that share its CPU
 	bestEffort     []*run            // runs that use idle CPU, in the order of colocated
 
@@ -165,9 +165,10 @@
 func (w *worker) addRun(r *run) {
 	w.runs[r.key()] = r
 	w.reserved = w.reserved.Add(reservation(r.step))
-	w.usedMilliCores += expectedMilliCores(r.step)
 	r.job.activeRuns++
 	w.addColocated(r)
+	r.usedMilliCores = r.expectedMilliCores(w.leader.state.now)
+	w.usedMilliCores += r.usedMilliCores
 }
 
 func (w *worker) removeRun(r *run) {
@@ -176,7 +177,7 @@
 	}
 	delete(w.runs, r.key())
 	w.reserved = w.reserved.Sub(reservation(r.step))
-	w.usedMilliCores -= expectedMilliCores(r.step)
+	w.usedMilliCores -= r.usedMilliCores
 	r.job.activeRuns--
 	r.job.lastRunEndedAt = w.leader.state.now
 	w.bestEffort = slices.DeleteFunc(w.bestEffort, func(o *run) bool { return o == r })
