--- /dev/null
+++ b/core/colocation/relief.go
@@ -0,0 +1,112 @@
+package colocation
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minContention is the least contention for which tasks are moved or throttled.
+	minContention = 0.02
+	// RaiseMargin is utilization that must remain free after a speed limit is raised, so
+	// that it is not lowered again at once.
+	RaiseMargin = 0.05
+	// reliefMargin is utilization that is kept free once a limit has to be lowered, so that
+	// it is lowered once.
+	reliefMargin = 0.03
+	// speedStep separates speed limits, in percent.
+	speedStep = 10
+	// restartTime is how long a task that is moved waits for its next start and for its
+	// saved work to be read there.
+	restartTime = time.Second
+)
+
+// Relief is what to do with one best-effort task.
+type Relief struct {
+	SpeedLimit int  // percent
+	Move       bool // it is stopped, and runs on another worker
+}
+
+// Relieve protects serving tasks that are about to miss their targets: the best-effort
+// task that causes most contention by the work that it does is slowed down as far as
+// necessary. It is moved instead if there is a worker that tolerates it and it ends sooner
+// so. Relieve returns what to do with each best-effort task, none of which may exceed a
+// speed limit. The margin is kept free. movable tells whether a best-effort task can be
+// moved; nil: none can.
+func (w *Worker) Relieve(speedLimit int, margin float64, movable func(bestEffort int) bool) []Relief {
+	out := make([]Relief, len(w.BestEffort))
+	for i, b := range w.BestEffort {
+		if !b.Stopping {
+			out[i].SpeedLimit = speedLimit
+		}
+	}
+	for {
+		s, over := w.mostOverloaded(out, margin)
+		if s == nil {
+			return out
+		}
+		at, ok := w.heaviest(s, out)
+		if !ok {
+			return out
+		}
+		b := w.BestEffort[at]
+		limit := loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed))
+		if movable != nil && b.endsSoonerElsewhere(limit) && movable(at) {
+			out[at] = Relief{Move: true}
+			continue
+		}
+		out[at].SpeedLimit = limit
+	}
+}
+
+// loweredBy returns a speed limit lowered by at least a share of full speed.
+func loweredBy(limit int, share float64) int {
+	steps := int(math.Ceil(min(share, 1) * FullSpeed / speedStep))
+	return max(limit-max(steps, 1)*speedStep, 0)
+}
+
+// endsSoonerElsewhere reports whether a task ends sooner when it is moved than at a speed
+// limit. Work that is not saved begins anew.
+func (b *BestEffort) endsSoonerElsewhere(limit int) bool {
+	elsewhere := restartTime + b.Remaining
+	if !b.Saves {
+		elsewhere += b.Worked
+	}
+	return b.Remaining*FullSpeed > elsewhere*time.Duration(limit)
+}
+
+// mostOverloaded returns the serving task whose utilization is furthest above its safe
+// utilization, and by how much; nil: none is above it.
+func (w *Worker) mostOverloaded(relief []Relief, margin float64) (*Serving, float64) {
+	var worst *Serving
+	var most float64
+	for _, s := range w.Serving {
+		if !s.Ready {
+			continue
+		}
+		over := s.Load.utilization + margin - w.Model.safeUtilization(s)
+		contention := 0.0
+		for i, b := range w.BestEffort {
+			contention += w.contentionFrom(s, b, relief[i].SpeedLimit)
+		}
+		if over += contention; over > most && contention >= minContention {
+			worst, most = s, over
+		}
+	}
+	return worst, most
+}
+
+// heaviest returns the best-effort task that causes most contention for a serving task by
+// the work that it does, among those that cause any.
+func (w *Worker) heaviest(s *Serving, relief []Relief) (int, bool) {
+	at, most := 0, 0.0
+	for i, b := range w.BestEffort {
+		if w.contentionFrom(s, b, relief[i].SpeedLimit) < minContention/4 {
+			continue
+		}
+		if p := w.Model.PressureOn(s.Image, b.Image).Value; p > most {
+			at, most = i, p
+		}
+	}
+	return at, most > 0
+}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/ordering"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
@@ -47,7 +48,7 @@
 	displacedAt        Instant // when one of its runs last gave way to more urgent work; 0: never
 	preemptionRetryAt  Instant // no search for runs that give way to it before this time
 
-	loads []*load // of serving steps, by occurrence and step
+	loads []*colocation.Load // of serving steps, by occurrence and step
 
 	storedState structs.JobState // last state written to the store
 	finalAt     Instant
@@ -139,13 +140,13 @@
 }
 
 // stepLoad returns the estimated load of the tasks of a step.
-func (j *job) stepLoad(ref structs.TaskRef) *load {
+func (j *job) stepLoad(ref structs.TaskRef) *colocation.Load {
 	if j.loads == nil {
-		j.loads = make([]*load, len(j.remainingByStep)*len(j.Steps))
+		j.loads = make([]*colocation.Load, len(j.remainingByStep)*len(j.Steps))
 	}
 	at := ref.Occurrence*len(j.Steps) + ref.Step
 	if j.loads[at] == nil {
-		j.loads[at] = &load{}
+		j.loads[at] = &colocation.Load{}
 	}
 	return j.loads[at]
 }
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/admission"
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -52,7 +53,7 @@
 	loadedGroups   map[structs.JobID]map[string]ProgressGroupRow // further rows of it, by key
 
 	commits            commitState
-	interference       *interferenceModel
+	interference       *colocation.Model
 	workDone           map[classKey]*admission.Meter // rates of work, by class
 	schedule           scheduleState
 	order              jobOrder
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackstep/tamarackstep/core/colocation"
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
@@ -43,17 +44,19 @@
 
 	checkpoint       string // last one that the worker listed
 	percent          int
-	progressedAt     Instant // when percent last changed
-	gauge            int64   // last reading: tail latency in milliseconds of a serving task, else millicores in use
-	readySince       Instant // since when a persistent task has started up; 0: it has not
-	proven           bool    // a persistent task has worked for provenTime
-	speedLimitSetAt  Instant // when the speed limit last changed
-	speedLimit       int     // percent, as last sent
+	progressedAt     Instant       // when percent last changed
+	gauge            int64         // last reading: tail latency in milliseconds of a serving task, else millicores in use
+	readySince       Instant       // since when a persistent task has started up; 0: it has not
+	proven           bool          // a persistent task has worked for provenTime
+	speedLimitSetAt  Instant       // when the speed limit last changed
+	usedMilliCores   int64         // CPU that it is expected to use
+	workedBefore     time.Duration // at full speed, until then
+	speedLimit       int           // percent, as last sent
 	throttleInFlight bool
 
-	image      imageID
-	load       *load   // of a serving task
-	contention float64 // utilization that best-effort tasks on its worker add at full speed
+	image   colocation.ImageID
+	serving *colocation.Serving    // nil: it has no target for its tail latency
+	filling *colocation.BestEffort // nil: it is not a best-effort task
 }
 
 type runKey struct {
