scheduler, platform: no starts in evacuated zones, and starts only on fresh pictures

Change: every host follows the evacuated zones; their workers accept no starts and count as no room. A start is sent only while the pictures of the operator's table and of the list of workers are younger than EvacuateMs and DrainMs, less the time for the command to arrive; a leader that has not read the operator's table starts nothing. A watch whose answer has as many rows as a page holds goes on at once, and watches of the list of workers are 300 ms apart from sending to sending: with more changes than a page holds in the time between two watches a leader fell behind without bound. Both limits are off where the settings do not state them.

--- a/core/scheduler/bulkread.go
+++ b/core/scheduler/bulkread.go
@@ -44,7 +44,7 @@
 	table     Table
 	partition Partition
 	from      string
-	done      func(RowsRead)
+	done      func(r RowsRead, sentAt Instant)
 }
 
 // init sets the budget from the capacity of the host's link, in bytes a second.
@@ -57,8 +57,9 @@
 	b.budget = max(b.budget, minReadBudget)
 }
 
-// readPage reads a page of a partition, from a key on, once the budget allows it.
-func (s *State) readPage(t Table, p Partition, from string, done func(RowsRead)) {
+// readPage reads a page of a partition, from a key on, once the budget allows it, and
+// passes it to done with the time at which the read was sent.
+func (s *State) readPage(t Table, p Partition, from string, done func(r RowsRead, sentAt Instant)) {
 	s.bulk.waiting = append(s.bulk.waiting, bulkRead{t, p, from, done})
 	s.sendPages()
 }
@@ -87,7 +88,7 @@
 		b.pages--
 		b.inFlight -= expected
 		b.observe(next.table, r, sentAt, s.now)
-		next.done(r)
+		next.done(r, sentAt)
 		s.sendPages()
 	})
 }
--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -19,9 +19,15 @@
 
 func (c *configState) known() bool { return c.loaded }
 
-// applyConfigRows applies rows of the operator's table. A version that is not
-// higher than the current one is ignored, so that a configuration never reverts.
-func (s *State) applyConfigRows(rows []Row, _ bool) {
+// applyOperatorRows applies rows of the operator's table.
+func (s *State) applyOperatorRows(rows []Row, all bool) {
+	s.applyConfigRows(rows)
+	s.applyEvacuationRows(rows, all)
+}
+
+// applyConfigRows applies configurations. A version that is not higher than the current
+// one is ignored, so that a configuration never reverts.
+func (s *State) applyConfigRows(rows []Row) {
 	for _, r := range rows {
 		if r.Key != KeyConfiguration {
 			continue
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -47,6 +47,8 @@
 	FinalStateRetention time.Duration // final states of jobs are kept at least this long
 	StopGracePeriod     time.Duration // from the signal to stop until the process is killed
 	MaxRowBytes         int           // limit of the store for the value of a row; 0: the default
+	DrainTime           time.Duration // no task starts on a worker this long after it announced that it drains; 0: no limit
+	EvacuationTime      time.Duration // no task starts in a zone this long after its evacuation was requested; 0: no limit
 }
 
 // TimerFired reports that the deadline from NextDeadline has passed.
--- a/core/scheduler/fakestore_test.go
+++ b/core/scheduler/fakestore_test.go
@@ -20,16 +20,20 @@
 	discardedUntil structs.Version // versions up to this one have been discarded from the history
 	watches        []*fakeWatch
 
-	down          bool                        // answers no calls
-	refuseCommits bool                        // refuses all commits
-	rejectWrite   func(Write) bool            // rejects commits with such a write for good; nil: none
-	namesRejected bool                        // rejections name the writes at fault
-	rejections    int                         // commits that were rejected
-	rackLeftAt    map[string]time.Duration    // when an entry last ceased to name each rack
-	commitOutcome func(*fakeHost, Commit) int // decides the outcome of a commit
-	commits       int
-	commitTime    time.Duration               // that a partition takes for one transaction; others wait
-	busyUntil     map[Partition]time.Duration // when each partition has performed the transactions that wait
+	down           bool                     // answers no calls
+	cutTable       Table                    // reads and watches of it have no answer; 0: none
+	maxChanges     int                      // in one answer to a watch; 0: any number
+	refuseCommits  bool                     // refuses all commits
+	rejectWrite    func(Write) bool         // rejects commits with such a write for good; nil: none
+	namesRejected  bool                     // rejections name the writes at fault
+	rejections     int                      // commits that were rejected
+	rackLeftAt     map[string]time.Duration // when an entry last ceased to name each rack
+	drainsSince    map[structs.WorkerID]time.Duration
+	evacuatedSince map[string]time.Duration    // by zone
+	commitOutcome  func(*fakeHost, Commit) int // decides the outcome of a commit
+	commits        int
+	commitTime     time.Duration               // that a partition takes for one transaction; others wait
+	busyUntil      map[Partition]time.Duration // when each partition has performed the transactions that wait
 }
 
 // Limits of the store.
@@ -91,7 +95,7 @@
 }
 
 func newFakeStore(sim *simulation) *fakeStore {
-	return &fakeStore{sim: sim, rows: make(map[fakeRowID]Row), busyUntil: make(map[Partition]time.Duration), rackLeftAt: make(map[string]time.Duration), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
+	return &fakeStore{sim: sim, rows: make(map[fakeRowID]Row), busyUntil: make(map[Partition]time.Duration), rackLeftAt: make(map[string]time.Duration), drainsSince: make(map[structs.WorkerID]time.Duration), evacuatedSince: make(map[string]time.Duration), commitOutcome: func(*fakeHost, Commit) int { return commitAnswered }}
 }
 
 // get returns the value that was written last to a key of a table, in any partition.
@@ -123,6 +127,7 @@
 	if w, ok := s.rows[id].Value.(WorkerRow); ok && id.table == TableWorkers {
 		s.rackLeftAt[rackKey(structs.WorkerID(id.key), &w.WorkerEntry)] = s.sim.now
 	}
+	s.recordLeaving(id, v)
 	r := Row{Partition: id.partition, Key: id.key, Version: s.version, Value: v, Removed: v == nil}
 	if v == nil {
 		delete(s.rows, id)
@@ -132,6 +137,25 @@
 	s.history = append(s.history, TableRow{id.table, r})
 }
 
+// recordLeaving records since when workers drain and zones are evacuated.
+func (s *fakeStore) recordLeaving(id fakeRowID, v RowValue) {
+	if zone, ok := strings.CutPrefix(id.key, evacuationKeyPrefix); ok && id.table == TableOperator {
+		trackFirst(s.evacuatedSince, zone, v != nil, s.sim.now)
+	}
+	if w, ok := v.(WorkerRow); id.table == TableWorkers {
+		trackFirst(s.drainsSince, structs.WorkerID(id.key), ok && w.Draining, s.sim.now)
+	}
+}
+
+// trackFirst keeps since when a condition holds for a key, and removes the key when it does not.
+func trackFirst[K comparable](since map[K]time.Duration, key K, holds bool, now time.Duration) {
+	if _, known := since[key]; holds && !known {
+		since[key] = now
+	} else if !holds {
+		delete(since, key)
+	}
+}
+
 // checkPlan fails the test if a plan gives a rack to another shard than the plan before,
 // or lacks a rack that has had a listed worker within absentRackRetention.
 func (s *fakeStore) checkPlan(plan ShardPlanRow) {
@@ -256,7 +280,7 @@
 }
 
 func (s *fakeStore) read(h fakeConnection, e ReadRows) {
-	if !s.reachable(h) {
+	if !s.reachable(h) || e.Table == s.cutTable {
 		h.deliverAfter(e.Timeout, RowsRead{Effect: e.ID, Outcome: structs.OutcomeUnknown})
 		return
 	}
@@ -316,7 +340,7 @@
 }
 
 func (s *fakeStore) watch(h fakeConnection, e WatchRows) {
-	if !s.reachable(h) {
+	if !s.reachable(h) || e.Table == s.cutTable {
 		h.deliverAfter(e.Timeout, RowsRead{Effect: e.ID, Outcome: structs.OutcomeUnknown})
 		return
 	}
@@ -355,9 +379,14 @@
 		return
 	}
 	w.done = true
-	if !s.reachable(w.h) {
+	if !s.reachable(w.h) || w.e.Table == s.cutTable {
 		w.h.deliverAfter(watchTimeoutSlack, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeUnknown})
 		return
 	}
-	s.deliverRows(w.h, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeDone, Rows: rows, Version: s.version, StoreMS: s.storeMS()}, w.e.Timeout-w.e.Wait)
+	version := s.version
+	if s.maxChanges > 0 && len(rows) > s.maxChanges {
+		rows = rows[:s.maxChanges]
+		version = rows[len(rows)-1].Version
+	}
+	s.deliverRows(w.h, RowsRead{Effect: w.e.ID, Outcome: structs.OutcomeDone, Rows: rows, Version: version, StoreMS: s.storeMS()}, w.e.Timeout-w.e.Wait)
 }
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -18,6 +18,7 @@
 	id              structs.WorkerID
 	address         string
 	rack            string
+	zone            string
 	labels          []string // besides "a" and the rack
 	capacity        structs.Resources
 	alive           bool
@@ -92,7 +93,7 @@
 
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{
-		sim: sim, id: structs.WorkerID(id), address: "10.0.0.1:" + id, rack: fmt.Sprintf("r%d", len(sim.workers)/workersPerRack),
+		sim: sim, id: structs.WorkerID(id), address: "10.0.0.1:" + id, rack: fmt.Sprintf("r%d", len(sim.workers)/workersPerRack), zone: fmt.Sprintf("z%d", len(sim.workers)%2),
 		capacity: structs.Resources{MilliCores: 8000, MemoryMB: 64000},
 		gauge:    func(*fakeRun) int64 { return 0 },
 	}
@@ -147,7 +148,7 @@
 
 // writeEntry writes the worker's entry into the list of workers.
 func (f *fakeWorker) writeEntry(draining bool) {
-	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Draining: draining, Capacity: f.capacity, Labels: append([]string{"a", f.rack}, f.labels...), Rack: f.rack, Incarnation: f.incarnation}
+	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Zone: f.zone, Draining: draining, Capacity: f.capacity, Labels: append([]string{"a", f.rack}, f.labels...), Rack: f.rack, Incarnation: f.incarnation}
 	if draining {
 		e.LeavesIn = 2 * time.Second
 	}
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -19,12 +19,12 @@
 
 // TestSchedulerInvariants guards against violations of the oracle's invariants and
 // accepted jobs that never end, when hosts are killed or frozen, the store is
-// unreachable or performs commits late, and workers crash, are disconnected or carry
-// out starts late. It runs with one shard and with two.
+// unreachable or performs commits late, workers crash, are disconnected, drain or carry
+// out starts late, and zones are evacuated. It runs with one shard and with two.
 func TestSchedulerInvariants(t *testing.T) {
 	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newShardedSimulation(rt, 3, 4, rapid.SampledFrom([]int{0, 2}).Draw(rt, "workers of a shard"))
+		sim := newBoundedSimulation(rt, 3, 4, rapid.SampledFrom([]int{0, 2}).Draw(rt, "workers of a shard"), leavingBounds())
 		requests := make(map[RequestID]string)
 		persistent := make(map[string]RequestID)
 		defer func() {
@@ -62,7 +62,7 @@
 		for i := range steps {
 			h := sim.hosts[rapid.IntRange(0, 2).Draw(rt, "host")]
 			f := sim.workers[structs.WorkerID(fmt.Sprintf("w%02d", rapid.IntRange(0, 3).Draw(rt, "worker")))]
-			switch rapid.IntRange(0, 10).Draw(rt, "step") {
+			switch rapid.IntRange(0, 12).Draw(rt, "step") {
 			case 0, 1, 2:
 				id := fmt.Sprintf("%016x", i+1)
 				work := time.Duration(rapid.IntRange(50, 4000).Draw(rt, "work")) * time.Millisecond
@@ -106,6 +106,18 @@
 				h.storeCut = !h.storeCut
 			case 10:
 				f.replace()
+			case 11:
+				zone := evacuationKeyPrefix + f.zone
+				if sim.store.get(TableOperator, zone) == nil {
+					sim.store.set(TableOperator, zone, EvacuationRow{})
+				} else {
+					sim.store.set(TableOperator, zone, nil)
+				}
+			case 12:
+				if f.alive && !f.replaced {
+					f.writeEntry(true)
+					sim.after(3*time.Second, f.replace)
+				}
 			}
 			sim.advance(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "pause")) * time.Millisecond)
 		}
@@ -115,6 +127,7 @@
 		}
 		for _, f := range sim.workers {
 			f.disconnected = false
+			sim.store.set(TableOperator, evacuationKeyPrefix+f.zone, nil)
 		}
 		sim.advance(5 * time.Second)
 		for id, req := range persistent {
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -51,6 +51,7 @@
 	loadedGroups   map[structs.JobID]map[string]ProgressGroupRow // further rows of it, by key
 
 	commits            commitState
+	startsPaused       bool // because a picture is too old
 	interference       *interferenceModel
 	schedule           scheduleState
 	starts             startWindow
@@ -139,7 +140,7 @@
 // readProgress reads the progress of all jobs once, from a key on. Only the
 // leader writes progress, so it need not be read again.
 func (l *leaderState) readProgress(from string) {
-	l.state.readPage(TableProgress, l.shard.partition(), from, func(r RowsRead) {
+	l.state.readPage(TableProgress, l.shard.partition(), from, func(r RowsRead, _ Instant) {
 		if l.steppedDown {
 			return
 		}
@@ -192,6 +193,7 @@
 	l.loadedProgress, l.loadedGroups = nil, nil
 	l.applyAssignedEntries()
 	l.assignRacks()
+	l.logUnknownZones()
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
 		w.syncSoon()
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -113,12 +113,12 @@
 	inUse := w.listed && w.entryIsCurrent() && !w.entry.Draining
 	answers := w.listsRead && w.failedSyncs == 0 && w.startsPausedUntil <= now
 	stored := w.used && w.usedAddress == w.entry.Address && !w.endPublished && w.foreign.known(now)
-	return inUse && answers && stored && !w.startsHeldForAck()
+	return inUse && answers && stored && !w.startsHeldForAck() && !w.inEvacuatedZone()
 }
 
 // inService reports whether the worker is expected to accept starts, at present or soon.
 func (w *worker) inService() bool {
-	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.failedSyncs == 0
+	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.failedSyncs == 0 && !w.inEvacuatedZone()
 }
 
 // withinStepLimit reports whether one more task of a step may run on the worker
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -12,7 +12,7 @@
 
 // The tables. TableOperator and TableWorkers are written by others.
 const (
-	TableOperator Table = iota + 1 // the operator's configuration
+	TableOperator Table = iota + 1 // the operator's configuration, and evacuations by zone
 	TableWorkers                   // the platform's list of workers, by worker id
 	TableControl                   // leadership of each shard, in its partition
 	TableJobs                      // submitted jobs, by job id; written once
@@ -95,6 +95,8 @@
 	KeyUsedWorkers   = "workers"
 	KeyPlan          = "plan"
 	loadKeyPrefix    = "load"
+
+	evacuationKeyPrefix = "evacuate/" // before the name of a zone
 )
 
 // RowValue is the content of a row. The set of types is closed.
@@ -201,6 +203,8 @@
 	QueueLengths map[string]int         `json:"queues"`     // accepted jobs that have not started, by queue
 	Services     map[string]ServiceLoad `json:"services"`   // by service
 	Labels       []string               `json:"labels"`     // of its workers
+	// Evacuating holds how many runs are left on its workers in evacuated zones, by zone.
+	Evacuating map[string]int `json:"evacuating,omitempty"`
 }
 
 // ServiceLoad is the capacity of a shard for the tasks of one service. All amounts
@@ -226,6 +230,10 @@
 // ConfigurationRow is the operator's configuration.
 type ConfigurationRow struct{ structs.QueueConfiguration }
 
+// EvacuationRow is the operator's request that no task starts in a zone until the row is
+// removed. Its key names the zone.
+type EvacuationRow struct{}
+
 // WorkerRow is an entry of the platform's list of workers.
 type WorkerRow struct{ structs.WorkerEntry }
 
@@ -241,4 +249,5 @@
 func (ShardPlanRow) isRowValue()     {}
 func (ShardLoadRow) isRowValue()     {}
 func (ConfigurationRow) isRowValue() {}
+func (EvacuationRow) isRowValue()    {}
 func (WorkerRow) isRowValue()        {}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -101,6 +101,7 @@
 	leaseEnd := w.newLeaseEnd(l.state.now, l.state.bounds)
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
+	e.NotAfter, _ = l.startsUntil()
 	// The next leader must not meet a start that is still on its way.
 	e.Timeout = min(e.Timeout, e.NotAfter-l.state.now)
 	e.Ticket, _ = l.ticketFor(w, stepKeyOf(ref), l.state.config.policyOf(&j.Job))
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -59,6 +59,9 @@
 	if c.wakeAt > 0 && c.wakeAt <= now {
 		c.passRequested, c.wakeAt = true, 0
 	}
+	if c.passRequested && l.updateStartPause() {
+		return
+	}
 	var at Instant
 	switch {
 	case c.passRequested && now >= c.lastPass+c.passInterval():
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -144,7 +144,7 @@
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
 		load := row.Services[w.entry.Service]
-		if w.acceptsStarts() && !w.quarantined() {
+		if w.acceptsStarts() && !w.quarantined() && !l.startsPaused {
 			load.addWorker(w)
 		}
 		row.Services[w.entry.Service] = load
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -25,6 +25,7 @@
 	lastRequest      RequestID
 	submittedJobs    map[structs.JobID]structs.Job
 	oracle           oracle
+	bounds           Bounds
 	shardWorkers     int                       // workers for which a shard is added; 0: there is one
 	adviceAllowed    map[structs.WorkerID]bool // workers that the advice service allows
 	adviceInFlight   bool                      // an advice request is being answered
@@ -69,14 +70,25 @@
 	FinalStateRetention: 120 * time.Second, StopGracePeriod: 6 * time.Second,
 }
 
+// leavingBounds adds the times to react to workers that leave.
+func leavingBounds() Bounds {
+	b := testBounds
+	b.DrainTime, b.EvacuationTime = 2*time.Second, 5*time.Second
+	return b
+}
+
 func newSimulation(t rapid.TB, hosts, workers int) *simulation {
 	return newShardedSimulation(t, hosts, workers, 0)
 }
 
 // newShardedSimulation returns a simulation with a shard for each shardWorkers workers.
 func newShardedSimulation(t rapid.TB, hosts, workers, shardWorkers int) *simulation {
+	return newBoundedSimulation(t, hosts, workers, shardWorkers, testBounds)
+}
+
+func newBoundedSimulation(t rapid.TB, hosts, workers, shardWorkers int, bounds Bounds) *simulation {
 	sim := &simulation{
-		t: t, shardWorkers: shardWorkers, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
+		t: t, bounds: bounds, shardWorkers: shardWorkers, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
 		submittedJobs: make(map[structs.JobID]structs.Job), checkpointedWork: make(map[structs.TaskRef]time.Duration),
 	}
 	sim.oracle.init(sim)
@@ -167,7 +179,7 @@
 	h.state, h.alive, h.frozen, h.deferred, h.started = NewState(), true, false, nil, h.sim.now
 	h.deliver(Started{
 		Host: h.name, Instance: structs.InstanceID(fmt.Sprintf("%s-%d", h.name, h.incarnation)),
-		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: testBounds, ShardWorkers: h.sim.shardWorkers, LinkBytesPerSecond: h.linkBytesPerSecond,
+		Seed: uint64(len(h.sim.hosts)*1000 + h.incarnation), Processors: h.processors, Bounds: h.sim.bounds, ShardWorkers: h.sim.shardWorkers, LinkBytesPerSecond: h.linkBytesPerSecond,
 	})
 }
 
@@ -276,6 +288,9 @@
 // longer than its timeout.
 func (h fakeConnection) sendStart(e StartTask) {
 	send := func() {
+		if h.sim.now-h.started <= e.NotAfter {
+			h.sim.oracle.sent(e)
+		}
 		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.startTask(e) })
 		})
@@ -489,6 +504,20 @@
 	o.done[n.Task] = true
 }
 
+// sent checks a start that a host sends: its worker has not announced for DrainTime that it
+// drains, and its zone has not been evacuated for EvacuationTime.
+func (o *oracle) sent(e StartTask) {
+	t, store := o.sim.t, o.sim.store
+	t.Helper()
+	f := o.sim.workers[e.Worker]
+	if since, drains := store.drainsSince[e.Worker]; drains && o.sim.bounds.DrainTime > 0 && o.sim.now-since > o.sim.bounds.DrainTime {
+		t.Fatalf("%v: start of %s sent to %s, which drains since %v", o.sim.now, taskName(e.Task), e.Worker, since)
+	}
+	if since, evacuated := store.evacuatedSince[f.zone]; evacuated && o.sim.bounds.EvacuationTime > 0 && o.sim.now-since > o.sim.bounds.EvacuationTime {
+		t.Fatalf("%v: start of %s sent to %s in %s, which is evacuated since %v", o.sim.now, taskName(e.Task), e.Worker, f.zone, since)
+	}
+}
+
 // started checks a start that a worker is about to carry out.
 func (o *oracle) started(f *fakeWorker, e StartTask) {
 	t := o.sim.t
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -23,14 +23,16 @@
 
 	timers timers.Queue[func()]
 
-	store    storeHealth
-	bulk     bulkReads
-	config   configState
-	requests requestState
-	shards   shardView
-	stopping bool
-	ready    bool
-	watches  map[watchKey]*watch
+	store  storeHealth
+	bulk   bulkReads
+	config configState
+	// evacuations are the evacuated zones, by name.
+	evacuations map[string]*evacuation
+	requests    requestState
+	shards      shardView
+	stopping    bool
+	ready       bool
+	watches     map[watchKey]*watch
 
 	leaders []*leaderState // of the shards that this host schedules, by shard
 }
@@ -39,7 +41,7 @@
 func NewState() *State {
 	return &State{
 		handlers: make(map[EffectID]func(EventBody)), requests: newRequestState(), watches: make(map[watchKey]*watch),
-		shards: newShardView(),
+		shards: newShardView(), evacuations: make(map[string]*evacuation),
 	}
 }
 
@@ -91,7 +93,7 @@
 	s.self, s.bounds = b, b.Bounds
 	s.bulk.init(b.LinkBytesPerSecond)
 	s.logDecision(Decision{Part: "host", Action: "started", Subject: b.Host, Where: string(b.Instance)})
-	s.watchTable(watchKey{table: TableOperator}, s.applyConfigRows, nil)
+	s.watchTable(operatorWatch, s.applyOperatorRows, nil)
 	s.pollShards()
 }
 
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -23,8 +23,8 @@
 	// two seconds.
 	watchWait         = 1200 * time.Millisecond
 	watchTimeoutSlack = 600 * time.Millisecond
-	// workerWatchDelay separates watches of the list of workers, which changes with
-	// each heartbeat of each worker.
+	// workerWatchDelay separates the watches of the list of workers, which changes with
+	// each heartbeat of each worker, from when one is sent until the next one is.
 	workerWatchDelay = 300 * time.Millisecond
 )
 
@@ -111,7 +111,16 @@
 	snapshot          []Row
 	oldestPage        structs.Version // lowest version of the pages of a read
 	loadingPartitions int             // partitions whose read is not complete
+	loadSentAt        Instant         // when the first page of the read that goes on was sent
 	failures          int             // watches in a row without an answer while the store answered other calls
+	picture           picture
+}
+
+// picture tells from when what a watch has seen of its table is: each row that the store
+// accepted before asOf has been applied.
+type picture struct {
+	complete bool // the whole table has been read
+	asOf     Instant
 }
 
 // watchKey identifies a watch. Each leader of a host has its own; those of the host
@@ -139,7 +148,7 @@
 // after another would take too long while the store is slow.
 func (w *watch) loadAll(s *State) {
 	partitions := w.table.loadedPartitions()
-	w.snapshot, w.oldestPage, w.loadingPartitions = nil, 0, len(partitions)
+	w.snapshot, w.oldestPage, w.loadSentAt, w.loadingPartitions = nil, 0, 0, len(partitions)
 	for _, part := range partitions {
 		w.load(s, part, "")
 	}
@@ -150,7 +159,7 @@
 	if !w.active {
 		return
 	}
-	s.readPage(w.table, part, from, func(r RowsRead) {
+	s.readPage(w.table, part, from, func(r RowsRead, sentAt Instant) {
 		if !w.active {
 			return
 		}
@@ -161,6 +170,9 @@
 		if w.oldestPage == 0 || r.Version < w.oldestPage {
 			w.oldestPage = r.Version
 		}
+		if w.loadSentAt == 0 || sentAt < w.loadSentAt {
+			w.loadSentAt = sentAt
+		}
 		w.snapshot = append(w.snapshot, r.Rows...)
 		if r.More && len(r.Rows) > 0 {
 			// The next page begins right after the last key of this one.
@@ -176,6 +188,7 @@
 func (w *watch) loadDone(s *State) {
 	rows := w.snapshot
 	w.snapshot, w.afterVersion = nil, w.oldestPage
+	w.picture = picture{complete: true, asOf: w.loadSentAt}
 	w.onRows(rows, true)
 	if loaded := w.onLoaded; loaded != nil {
 		w.onLoaded = nil
@@ -189,7 +202,8 @@
 		return
 	}
 	sentAt := s.now
-	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: watchWait, Timeout: watchWait + watchTimeoutSlack*w.timeoutFactor()}
+	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: w.waitTime(s.bounds)}
+	e.Timeout = e.Wait + watchTimeoutSlack*w.timeoutFactor()
 	e.ID = s.expectOutcome(func(body EventBody) { w.changed(s, body.(RowsRead), sentAt) })
 	s.emit(e)
 }
@@ -211,17 +225,28 @@
 		s.store.observe(s, structs.OutcomeDone)
 		w.failures = 0
 		w.afterVersion = max(w.afterVersion, r.Version)
+		more := r.moreChanges()
+		if !more {
+			w.picture.asOf = sentAt
+		}
 		if len(r.Rows) > 0 {
 			w.onRows(r.Rows, false)
 		}
-		if w.table == TableWorkers {
-			s.after(workerWatchDelay, func() { w.wait(s) })
+		if next := sentAt + workerWatchDelay; w.table == TableWorkers && !more && next > s.now {
+			s.after(next-s.now, func() { w.wait(s) })
 			return
 		}
 		w.wait(s)
 	}
 }
 
+// moreChanges reports whether further changes may follow those in the answer to a watch: it
+// has as many rows as a page holds, and the store says to go on after the last of them.
+func (r *RowsRead) moreChanges() bool {
+	n := len(r.Rows)
+	return n >= maxPageRows && r.Version <= r.Rows[n-1].Version
+}
+
 // String returns the table's name in logs.
 func (t Table) String() string {
 	switch t {
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -202,12 +202,14 @@
 type WorkerEntry struct {
 	Service     string
 	Address     string // IP:port
+	Zone        string // availability zone; empty: not known
 	Draining    bool
 	Capacity    Resources
 	Labels      []string      // kind and rack of the worker
 	Rack        string        // empty: not known
 	Incarnation int64         // start time, Unix milliseconds; distinguishes successive workers with the same id
 	LeavesIn    time.Duration // of a draining worker: minimum time until it leaves
+	ColdFor     time.Duration // how much longer the worker is slow after its start
 }
 
 // RunEnd is how a run ended.
