scheduler: persistent tasks leave evacuated zones, cold workers take less, progress in the load row

The load row of a shard tells how many runs are left in each evacuated zone, and a line says when a zone is empty. The moves off draining workers are renamed (drain.go); they are unchanged.

--- a/core/scheduler/evacuate.go
+++ b/core/scheduler/drain.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// evacuationMargin is the least time between the expected end of a run and the
-// time at which its worker leaves.
-const evacuationMargin = 300 * time.Millisecond
+// drainMargin is the least time between the expected end of a run and the time at which its
+// worker leaves.
+const drainMargin = 300 * time.Millisecond
 
-// evacuate moves tasks that cannot end on a draining worker: persistent tasks, and
-// tasks that need longer than the worker stays. A task is moved only when another
-// worker has room for it.
-func (w *worker) evacuate() {
+// moveFromDrainingWorker moves tasks that cannot end on a draining worker: persistent tasks,
+// and tasks that need longer than the worker stays. A task is moved only when another worker
+// has room for it.
+func (w *worker) moveFromDrainingWorker() {
 	if !w.entry.Draining {
 		return
 	}
@@ -34,5 +34,5 @@
 	if !r.step.SavesProgress || r.percent <= 0 {
 		return false
 	}
-	return now+r.expectedRemaining(now)+evacuationMargin > leaves
+	return now+r.expectedRemaining(now)+drainMargin > leaves
 }
--- a/core/scheduler/fakeworker_test.go
+++ b/core/scheduler/fakeworker_test.go
@@ -19,6 +19,7 @@
 	address         string
 	rack            string
 	zone            string
+	coldFor         time.Duration
 	labels          []string // besides "a" and the rack
 	capacity        structs.Resources
 	alive           bool
@@ -148,7 +149,7 @@
 
 // writeEntry writes the worker's entry into the list of workers.
 func (f *fakeWorker) writeEntry(draining bool) {
-	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Zone: f.zone, Draining: draining, Capacity: f.capacity, Labels: append([]string{"a", f.rack}, f.labels...), Rack: f.rack, Incarnation: f.incarnation}
+	e := structs.WorkerEntry{Service: serviceName, Address: f.address, Zone: f.zone, ColdFor: f.coldFor, Draining: draining, Capacity: f.capacity, Labels: append([]string{"a", f.rack}, f.labels...), Rack: f.rack, Incarnation: f.incarnation}
 	if draining {
 		e.LeavesIn = 2 * time.Second
 	}
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -52,6 +52,7 @@
 
 	commits            commitState
 	startsPaused       bool // because a picture is too old
+	zoneMoves          zoneMoves
 	interference       *interferenceModel
 	schedule           scheduleState
 	starts             startWindow
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -14,6 +14,7 @@
 	tailWeight     = 0.2 // of the worst ratio of a tail latency to its target
 	headroomWeight = 4.0 // of the headroom of serving tasks at the peak of their load
 	imageWeight    = 1.0 // of the share of serving tasks on the worker with the task's image
+	coldWeight     = 0.2 // of a worker that is slow after its start
 )
 
 // stepFilter decides on which workers tasks of one step may be started. It is valid
@@ -190,6 +191,9 @@
 	if step.DataRack != "" && !slices.Contains(w.entry.Labels, step.DataRack) {
 		score -= 1
 	}
+	if l.state.now < w.coldUntil {
+		score -= coldWeight
+	}
 	return score, true
 }
 
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -204,6 +204,9 @@
 	for service := range r.Services {
 		n += serviceLoadBytes + textBytes(service)
 	}
+	for zone := range r.Evacuating {
+		n += queueLengthsFrame + textBytes(zone)
+	}
 	for _, label := range r.Labels {
 		n += textFrame + textBytes(label)
 	}
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -115,6 +115,7 @@
 	if !l.isLoaded() || !l.leaseValid() || l.loadInFlight {
 		return
 	}
+	l.logEmptyZones()
 	l.loadInFlight = true
 	l.state.commit(Commit{Writes: []Write{{TableShards, loadPartition, l.shard.loadKey(), l.load()}}}, func(Committed) {
 		l.loadInFlight = false
@@ -140,6 +141,7 @@
 		Host: s.self.Host, Epoch: l.epoch, Processors: s.self.Processors, Strongest: s.shards.strongest, Leads: len(s.leaders), AtMS: l.storeNow(),
 		Shards:       s.shards.count(),
 		QueueLengths: make(map[string]int), Services: make(map[string]ServiceLoad), Labels: l.workerLabels((*worker).inService),
+		Evacuating: l.runsInEvacuatedZones(),
 	}
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
@@ -164,10 +166,15 @@
 	return row.within(s.bounds.rowLimit())
 }
 
-// within returns the load within a size. Labels go first, and then the shortest queues:
-// without them jobs are placed with less knowledge, and queues are told shorter.
+// within returns the load within a size. The progress of evacuations goes first, then labels,
+// and then the shortest queues: without them jobs are placed with less knowledge, and queues
+// are told shorter.
 func (r ShardLoadRow) within(limit int) ShardLoadRow {
 	over := r.bytes() - limit
+	if over > 0 && len(r.Evacuating) > 0 {
+		r.Evacuating = nil
+		over = r.bytes() - limit
+	}
 	for over > 0 && len(r.Labels) > 0 {
 		last := len(r.Labels) - 1
 		over -= textFrame + textBytes(r.Labels[last])
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -147,7 +147,8 @@
 	}
 	w.updateThrottle()
 	w.moveStalledRuns()
-	w.evacuate()
+	w.moveFromDrainingWorker()
+	w.moveFromEvacuatedZone()
 	l.schedule.requestPass()
 	w.scheduleNextSync()
 }
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -51,6 +51,7 @@
 	kept keptRoom // for a persistent task that waits
 
 	leavesAt          Instant // of a draining worker: the earliest time at which it leaves
+	coldUntil         Instant // it is slow after its start until then
 	startsPausedUntil Instant
 	quarantinedUntil  Instant
 	record            failureRecord
@@ -136,6 +137,7 @@
 		l.commits.usedWorkersChanged = true
 	}
 	w.entry, w.listed = e, true
+	w.coldUntil = l.state.now + e.ColdFor
 	if changed && l.isLoaded() {
 		w.syncSoon()
 	}
