--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -16,6 +16,7 @@
 	tailWeight     = 0.2 // of the worst ratio of a tail latency to its target
 	headroomWeight = 4.0 // of the headroom of serving tasks at the peak of their load
 	imageWeight    = 1.0 // of the share of serving tasks on the worker with the task's image
+	coldWeight     = 0.2 // of a worker that is slow after its start
 )
 
 // stepFilter decides on which workers tasks of one step may be started. It is valid
@@ -115,12 +116,12 @@
 	inUse := w.listed && w.entryIsCurrent() && !w.entry.Draining
 	answers := w.listsRead && w.failedSyncs == 0 && w.startsPausedUntil <= now
 	stored := w.used && w.usedAddress == w.entry.Address && !w.endPublished && w.foreign.known(now)
-	return inUse && answers && stored && !w.startsHeldForAck()
+	return inUse && answers && stored && !w.startsHeldForAck() && !w.inEvacuatedZone()
 }
 
 // inService reports whether the worker is expected to accept starts, at present or soon.
 func (w *worker) inService() bool {
-	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.failedSyncs == 0
+	return w.listed && w.entryIsCurrent() && !w.entry.Draining && w.failedSyncs == 0 && !w.inEvacuatedZone()
 }
 
 // withinStepLimit reports whether one more task of a step may run on the worker
@@ -184,6 +185,9 @@
 	if step.DataRack != "" && !slices.Contains(w.entry.Labels, step.DataRack) {
 		score -= 1
 	}
+	if l.state.now < w.coldUntil {
+		score -= coldWeight
+	}
 	return score, true
 }
 
--- a/core/scheduler/rowsize.go
+++ b/core/scheduler/rowsize.go
@@ -206,6 +206,9 @@
 	for service, load := range r.Services {
 		n += serviceLoadBytes + textBytes(service) + backlogClassBytes*len(load.Backlog)
 	}
+	for zone := range r.Evacuating {
+		n += queueLengthsFrame + textBytes(zone)
+	}
 	for _, label := range r.Labels {
 		n += textFrame + textBytes(label)
 	}
