--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -77,8 +77,11 @@
 }
 
 const (
-	// commandTimeout bounds a command to start, stop or throttle a run.
+	// commandTimeout bounds a command to start or throttle a run.
 	commandTimeout = 1500 * time.Millisecond
+	// stopTimeout bounds a command to stop a run. It is shorter, since a stop is repeated
+	// without harm, and its task waits for the answer.
+	stopTimeout = 600 * time.Millisecond
 	// stopRetryInterval separates retries of a stop command without an answer.
 	stopRetryInterval = 400 * time.Millisecond
 )
@@ -237,6 +240,7 @@
 	r.stopInFlight = true
 	r.stopSentAt = l.state.now
 	e := StopTask{WorkerCommand: l.newCommand(r.worker), Task: r.ref, Run: r.id}
+	e.Timeout = stopTimeout
 	e.ID = l.expectAnswer(func(o CommandDone) {
 		r.stopInFlight = false
 		if r.worker.runs[r.key()] != r {
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -437,3 +437,32 @@
 		t.Errorf("answer %+v, want no such queue", sim.answers[req])
 	}
 }
+
+// TestUnansweredStartIsReplacedSoon guards against tasks that wait for the time limit of
+// a start that their worker neither carries out nor answers, although its lists show
+// that the start is not there.
+func TestUnansweredStartIsReplacedSoon(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	task := structs.TaskRef{Job: jobA}
+	loseNext := false
+	for _, f := range sim.workers {
+		f.onStart = func(StartTask) startOutcome {
+			if loseNext {
+				loseNext = false
+				return startLost
+			}
+			return startAnswered
+		}
+	}
+	// Ends of other runs on both workers bring their lists.
+	for i := range 40 {
+		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", 0x100+i), singleStepJob(2, time.Second, 100))
+		sim.advance(25 * time.Millisecond)
+		if i == 0 {
+			loseNext = true
+			sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 100))
+		}
+	}
+	sim.waitFor(commandTimeout-time.Second, "the next start", func() bool { return sim.workerRunning(task) != nil })
+}
