standin: the checker judges starts in an evacuated zone, and one soak in five evacuates one

Change: workers have a zone; the checker reports EVACUATED for a start later than the limit, and the time for which faults may hold a start up, after the request. The other seeds play what they did, with limits on drains and evacuations in the settings.

Measured: TestSoak (seeds 1, 2, 4, 30 and wide 1) and TestCheckerRules pass.

--- a/standin/jobplatform/checker.go
+++ b/standin/jobplatform/checker.go
@@ -97,7 +97,8 @@
 type Checker struct {
 	mu         sync.Mutex
 	jobs       map[string]*JobRecord
-	used       map[string]int64 // thousandths of a processor that active runs request, by worker
+	used       map[string]int64     // thousandths of a processor that active runs request, by worker
+	closedFrom map[string]time.Time // from when no run may start in an evacuated zone, by zone
 	violations []string
 	starts     int             // runs that workers have started
 	startWaits []time.Duration // from the submission of a job to its first start, in order of the starts
@@ -105,7 +106,7 @@
 
 // NewChecker returns a checker without observations.
 func NewChecker() *Checker {
-	return &Checker{jobs: make(map[string]*JobRecord), used: make(map[string]int64)}
+	return &Checker{jobs: make(map[string]*JobRecord), used: make(map[string]int64), closedFrom: make(map[string]time.Time)}
 }
 
 // Violations returns one line per broken guarantee, in the order of detection.
@@ -284,12 +285,31 @@
 	c.checkEndsBefore(j, task)
 }
 
-// checkPlace checks a start against the room, the labels and the other tasks of its worker.
+// ZoneEvacuated records that the store has accepted the request to evacuate a zone. No run may
+// start there once limit has passed, until ZoneReturned.
+func (c *Checker) ZoneEvacuated(zone string, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closedFrom[zone] = time.Now().Add(limit)
+}
+
+// ZoneReturned records that the operator is about to end the evacuation of a zone.
+func (c *Checker) ZoneReturned(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.closedFrom, zone)
+}
+
+// checkPlace checks a start against the room, the labels, the zone and the other tasks of its
+// worker.
 func (c *Checker) checkPlace(w *Worker, j *JobRecord, task string, step int) {
 	c.used[w.ID] += j.MilliCores[step]
 	if c.used[w.ID] > w.MilliCores {
 		c.addViolation("LIMIT: %s starts on %s, whose runs then use %d of %d", task, w.ID, c.used[w.ID], w.MilliCores)
 	}
+	if from, closed := c.closedFrom[w.Zone]; closed && time.Now().After(from) {
+		c.addViolation("EVACUATED: %s starts on %s in zone %s", task, w.ID, w.Zone)
+	}
 	if step < len(j.Labels) && j.Labels[step] != "" && !slices.Contains(w.labels(), j.Labels[step]) {
 		c.addViolation("ROUTE: %s starts on %s, which has no label %s", task, w.ID, j.Labels[step])
 	}
--- a/standin/jobplatform/checker_test.go
+++ b/standin/jobplatform/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 const (
@@ -123,6 +124,19 @@
 			s.finish(nextTask, 1, "done")
 			s.start(s.first, laterTask, 1)
 		}},
+		"start in an evacuated zone": {observe: func(s *scene) {
+			s.first.Zone = "z"
+			s.ZoneEvacuated("z", 0)
+			s.start(s.first, firstTask, 1)
+		}, want: "EVACUATED"},
+		"start in another zone, within the limit, and after the end": {observe: func(s *scene) {
+			s.first.Zone, s.second.Zone = "z", "y"
+			s.ZoneEvacuated("y", time.Hour)
+			s.ZoneEvacuated("z", 0)
+			s.start(s.second, firstTask, 1)
+			s.ZoneReturned("z")
+			s.start(s.first, nextTask, 1)
+		}},
 		"start of an unknown job": {observe: func(s *scene) { s.start(s.first, "00000000000000bb.0.0.0", 1) }, want: "UNREQUESTED"},
 		"start with another specification": {observe: func(s *scene) {
 			s.RunStarted(s.first, firstTask, 1, `{"work_ms":51}`, "")
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -69,6 +69,7 @@
 	ID, Address string
 	Service     string
 	Rack        string
+	Zone        string
 	MilliCores  int64         // capacity in thousandths of a processor
 	ClockRate   float64       // speed of its clock relative to real time
 	MaxLease    time.Duration // longest lease that it grants
@@ -181,7 +182,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"Service": w.Service, "Address": w.Address, "State": state, "RemainingMs": 2000, "born": w.bootedMS,
+		"Service": w.Service, "Address": w.Address, "Zone": w.Zone, "State": state, "RemainingMs": 2000, "born": w.bootedMS,
 		"Capacity": map[string]any{"Cpu": w.MilliCores, "MemMb": 64000}, "Labels": w.labels(),
 	}
 	w.mu.Unlock()
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -25,6 +25,12 @@
 	slowestClockRate = 0.98 // of the workers' clocks, relative to real time
 	stopGracePeriod  = 6 * time.Second
 	failureLogLines  = 400 // printed per host after a failure
+	evacuationTime   = 3 * time.Second
+	// heldUpTime is how much later than it was sent a start may reach a worker: a fault that holds
+	// up links, hosts or commands lasts 6 s, and a command may meet two.
+	heldUpTime = 10 * time.Second
+	// evacuatedZone has the workers with odd numbers.
+	evacuatedZone = "z1"
 )
 
 // Size is the number of host processes and workers of a run. A shard is added for each
@@ -33,6 +39,7 @@
 	Hosts, Workers, ShardWorkers int
 	MaxLease                     time.Duration // of the workers; 0: jobplatform.DefaultMaxLease
 	Overcommits                  bool          // workers start what does not fit
+	Evacuates                    bool          // a zone is evacuated during the faults
 }
 
 // workersPerRack is the number of workers of a rack.
@@ -118,6 +125,16 @@
 		c.configVersion, jobsHost, jobsPathPrefix, workerService, c.configVersion, jobsHost, c.configVersion, workerService))
 }
 
+// evacuate requests the evacuation of a zone, and returns a function that ends it.
+func (c *Cluster) evacuate() func() {
+	c.Store.Put("op", "evacuate/"+evacuatedZone, []byte("{}"))
+	c.Checker.ZoneEvacuated(evacuatedZone, evacuationTime+heldUpTime)
+	return func() {
+		c.Checker.ZoneReturned(evacuatedZone)
+		c.Store.Remove("op", "evacuate/"+evacuatedZone)
+	}
+}
+
 func (c *Cluster) addWorker(number int) error {
 	w := &worker{}
 	handler := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.ServeHTTP(rw, r) })
@@ -131,7 +148,7 @@
 	}
 	rate := slowestClockRate + 0.01*float64(number%5)
 	w.Worker = jobplatform.NewWorker(fmt.Sprintf("w%02d", number), w.proxy.Address(), workerService, fmt.Sprintf("r%d", number/workersPerRack), workerMilliCores, rate, c.Store, c.Checker)
-	w.MaxLease, w.Overcommits = c.size.MaxLease, c.size.Overcommits
+	w.MaxLease, w.Overcommits, w.Zone = c.size.MaxLease, c.size.Overcommits, fmt.Sprintf("z%d", number%2)
 	w.Boot()
 	c.workers = append(c.workers, w)
 	return nil
@@ -179,10 +196,12 @@
 GraceS = %d
 MaxHoldMs = %d
 StopTimeoutMs = 400
+DrainMs = 3000
+EvacuateMs = %d
 status_s = 120
 [platform]
 Address = %q
-`, h.name, h.callerAddress, net.JoinHostPort(h.ip, ports[1]), int(stopGracePeriod.Seconds()), c.size.MaxLease.Milliseconds(), h.storeProxy.Address())
+`, h.name, h.callerAddress, net.JoinHostPort(h.ip, ports[1]), int(stopGracePeriod.Seconds()), c.size.MaxLease.Milliseconds(), evacuationTime.Milliseconds(), h.storeProxy.Address())
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o644); err != nil {
 		return oops.Wrapf(err, "write settings %s", h.settingsPath)
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -45,6 +45,10 @@
 		return Result{}, err
 	}
 	defer cluster.Close()
+	endEvacuation := func() {}
+	if size.Evacuates {
+		endEvacuation = cluster.evacuate()
+	}
 	time.Sleep(startupWait)
 	callers := &callerPool{cluster: cluster, seed: seed, counts: make(map[string]int)}
 	ctx, stop := context.WithCancel(context.Background())
@@ -52,6 +56,7 @@
 	group.Go(func() { callers.run(ctx, callerCount) })
 	result := Result{Counts: callers.counts}
 	result.Faults = injectFaults(cluster, mix, rand.New(rand.NewPCG(seed, seed)))
+	endEvacuation()
 	stop()
 	group.Wait()
 	result.Unsettled = callers.awaitSettled()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -18,6 +18,7 @@
 // the cause.
 var ciSeeds = []uint64{
 	1, 2,
+	4,  // evacuates a zone
 	30, // DUPLICATE: the stand-in's worker did not notice that its lease expired while nothing ran
 }
 
@@ -46,9 +47,10 @@
 	return MixBasic, defaultSize
 }
 
-// defaultSize returns the size of a run: seeds with odd numbers run with three shards.
+// defaultSize returns the size of a run: seeds with odd numbers run with three shards, and each
+// fifth evacuates a zone.
 func defaultSize(seed uint64) Size {
-	size := Size{Hosts: 3, Workers: 5}
+	size := Size{Hosts: 3, Workers: 5, Evacuates: seed%5 == 4}
 	if seed%2 == 1 {
 		size.ShardWorkers = 2
 	}
