colocation: an overloaded task's tail is a lower bound of its utilization

The tail of an overloaded serving task does not follow its utilization any further, so that the estimates of its load and of the pressures on it were corrected downwards while they were right.

--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -61,6 +61,9 @@
 	// maxUtilization bounds a measured utilization: the tail latency of an overloaded
 	// task carries little information.
 	maxUtilization = 0.99
+	// saturatedUtilization is the measured utilization from which the true one may be any
+	// higher one: the tail latency of an overloaded task does not follow it.
+	saturatedUtilization = 0.95
 )
 
 // NewModel returns a model with estimates that were learned earlier.
--- a/core/colocation/worker.go
+++ b/core/colocation/worker.go
@@ -118,6 +118,9 @@
 		expected += p.Value * share
 		variance += p.Variance * share * share
 	}
+	if measured >= saturatedUtilization && measured < expected {
+		measured = expected
+	}
 	correction := (measured - expected) / variance
 	s.Load.correct(correction, variance, elapsed)
 	for _, b := range w.BestEffort {
