scheduler: a serving task starts where best-effort tasks disturb it least

A serving task that started beside heavy best-effort tasks was over its target until they were moved.

--- a/core/colocation/admit.go
+++ b/core/colocation/admit.go
@@ -19,6 +19,18 @@
 	return true, headroom
 }
 
+// ContentionOn returns the utilization that the best-effort tasks would add to a serving
+// task with an image.
+func (w *Worker) ContentionOn(image ImageID) float64 {
+	s, sum := Serving{Image: image}, 0.0
+	for _, b := range w.BestEffort {
+		if !b.Stopping {
+			sum += w.contentionFrom(&s, b, FullSpeed)
+		}
+	}
+	return sum
+}
+
 // ToleratesStarved reports whether a best-effort task of a starved job may run although it
 // may disturb serving tasks: none is disturbed now, and the worker does not have tasks of
 // both kinds already.
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -16,6 +16,9 @@
 	tailWeight     = 0.2 // of the worst ratio of a tail latency to its target
 	headroomWeight = 4.0 // of the headroom of serving tasks at the peak of their load
 	imageWeight    = 1.0 // of the share of serving tasks on the worker with the task's image
+	// contentionWeight is that of the utilization which best-effort tasks would add to a
+	// serving task.
+	contentionWeight = 1.0
 )
 
 // stepFilter decides on which workers tasks of one step may be started. It is valid
@@ -177,7 +180,8 @@
 		}
 		score = float64(w.idleMilliCores())/capacity - tailWeight*w.colocated.WorstTailRatio() + headroomWeight*headroom
 	case step.TailTarget > 0:
-		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores)/capacity + imageWeight*w.colocated.SameImageShare(image)
+		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores)/capacity + imageWeight*w.colocated.SameImageShare(image) -
+			contentionWeight*w.colocated.ContentionOn(image)
 	default:
 		score = float64(w.entry.Capacity.MilliCores-w.reserved.MilliCores) / capacity
 	}
