--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -18,7 +18,7 @@
 	speedStep = 10
 	// restartTime is how long a task that is moved waits for its next start and for its
 	// saved work to be read there.
-	restartTime = time.Second
+	restartTime = 1500 * time.Millisecond
 )
 
 // Relief is what to do with one best-effort task.
