--- a/core/scheduler/startlimit.go
+++ b/core/scheduler/startlimit.go
@@ -64,7 +64,8 @@
 }
 
 // waitTime returns how long the watch waits for a change. Starts depend on how old the
-// pictures of two tables are, so that their watches do not wait for long where nothing changes.
+// pictures of two tables are, so that their watches do not wait for long where nothing changes,
+// and not at all after one without an answer.
 func (w *watch) waitTime(b Bounds) time.Duration {
 	limit := time.Duration(0)
 	switch w.table {
@@ -76,5 +77,8 @@
 	if limit == 0 {
 		return watchWait
 	}
+	if w.unanswered {
+		return 0
+	}
 	return min(watchWait, limit/pictureRefreshes)
 }
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -113,6 +113,7 @@
 	loadingPartitions int             // partitions whose read is not complete
 	loadSentAt        Instant         // when the first page of the read that goes on was sent
 	failures          int             // watches in a row without an answer while the store answered other calls
+	unanswered        bool            // the last watch had no answer
 	picture           picture
 }
 
@@ -203,7 +204,7 @@
 	}
 	sentAt := s.now
 	e := WatchRows{Table: w.table, After: w.afterVersion, Wait: w.waitTime(s.bounds)}
-	e.Timeout = e.Wait + watchTimeoutSlack*w.timeoutFactor()
+	e.Timeout = max(e.Wait+watchTimeoutSlack*w.timeoutFactor(), readTimeout)
 	e.ID = s.expectOutcome(func(body EventBody) { w.changed(s, body.(RowsRead), sentAt) })
 	s.emit(e)
 }
@@ -219,11 +220,12 @@
 		w.loadAll(s)
 	case r.Outcome != structs.OutcomeDone:
 		s.store.observe(s, r.Outcome)
+		w.unanswered = true
 		w.countFailure(s, sentAt)
 		s.after(s.jittered(storeRetryDelay), func() { w.wait(s) })
 	default:
 		s.store.observe(s, structs.OutcomeDone)
-		w.failures = 0
+		w.failures, w.unanswered = 0, false
 		w.afterVersion = max(w.afterVersion, r.Version)
 		more := r.moreChanges()
 		if !more {
