platformhost: a planned stop ends within the grace period, counted from the signal

Cause: serving (2.5 s), closing the listeners (2 s) and writing the last log lines (2 s) added up to 6.5 s of a grace period of 6 s, and each part began with an event that a busy control loop may handle late.

Change: the goroutine that receives the signal sets a deadline by the boot clock.

--- a/entry/cmd/tamarackstep/platform.go
+++ b/entry/cmd/tamarackstep/platform.go
@@ -61,6 +61,6 @@
 	} else {
 		log.Info("host: ended", "host", s.Host)
 	}
-	queue.Close(logFlushTimeout)
+	queue.Close(platformhost.LogFlushTimeout(s.Bounds.StopGracePeriod))
 	return exitStatus(err)
 }
--- a/entry/internal/platformhost/run.go
+++ b/entry/internal/platformhost/run.go
@@ -19,8 +19,6 @@
 	serverHeaderTimeout = 5 * time.Second
 	serverIdleTimeout   = 60 * time.Second
 	maxHeaderBytes      = 32 << 10
-	// shutdownTimeout bounds the wait for responses in progress after a planned stop.
-	shutdownTimeout = 2 * time.Second
 	// MetricsPort and MetricsPath are where metrics are served; deploy/system.toml
 	// has the same values.
 	MetricsPort = "9464"
@@ -106,6 +104,8 @@
 }
 
 func (h *Host) waitForStop(signals <-chan os.Signal, failed <-chan error, callerServer, readinessServer *http.Server) error {
+	var stop stopDeadline
+	defer stop.cancel()
 	for {
 		select {
 		case sig := <-signals:
@@ -114,11 +114,18 @@
 				continue
 			}
 			h.log.Info("host: stop signal received", "signal", sig.String())
+			stop.begin(h.clock, h.settings.Bounds.StopGracePeriod)
 			go h.loop.Post(scheduler.StopRequested{}) // Post blocks while the queue is full
+		case <-stop.checks():
+			if stop.left() > 0 {
+				continue
+			}
+			h.log.Warn("host: planned stop takes too long, ending the process", "age_ms", stop.age().Milliseconds())
+			return errors.Join(callerServer.Close(), readinessServer.Close())
 		case err := <-failed:
 			return err
 		case <-h.stopped:
-			return shutdown(callerServer, readinessServer)
+			return shutdown(stop.left(), callerServer, readinessServer)
 		}
 	}
 }
@@ -137,9 +144,10 @@
 	h.log.Info("host: settings file is valid, changes apply at the next start", "file", path)
 }
 
-// shutdown closes the listeners once responses in progress are written.
-func shutdown(callerServer, readinessServer *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdown closes the listeners once responses in progress are written, and after the
+// timeout in any case.
+func shutdown(timeout time.Duration, callerServer, readinessServer *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := callerServer.Shutdown(ctx)
 	return errors.Join(err, readinessServer.Close())
