scheduler: only what may be stored gets an unknown outcome, all else is refused as not run

Change: a request counts its writes that are in flight or unanswered. Without any it is refused as not run (503): at once after two failed calls, when the read before the write fails, when the store refuses the write, when too little time is left. Calls end with the caller's time, and with the planned stop. A host reports itself not ready 2 s after the last answered call, not after the first call that timed out.

--- a/cli/internal/trace/causes.go
+++ b/cli/internal/trace/causes.go
@@ -65,7 +65,10 @@
 	{section: sectionTrace, step: "1", finding: overlapPossible, cause: "two runs of one task may have overlapped: the logs show no end of the first before the second was ordered"},
 
 	{section: sectionRejected, part: "request", action: "refused: not run", reason: "the store refused the job", cause: "the store answered 429, 503 or refused the connection"},
-	{section: sectionRejected, part: "request", action: "refused: not run", reason: "the store cannot be reached", cause: "at least three calls to the store in a row had failed; nothing was tried"},
+	{section: sectionRejected, part: "request", action: "refused: not run", reason: "the store cannot be reached", cause: "at least two calls to the store in a row had failed; nothing was tried"},
+	{section: sectionRejected, part: "request", action: "refused: not run", reason: "the store does not answer", cause: "the read before the job is stored failed; the job was not sent"},
+	{section: sectionRejected, part: "request", action: "refused: not run", reason: "no answer from the store", cause: "calls to the store failed, and none of them can have changed anything"},
+	{section: sectionRejected, part: "request", action: "refused: not run", reason: "too little time is left", cause: "the store was too slow for the time that the caller had left; the job was not sent"},
 	{section: sectionRejected, part: "request", action: "refused: not run", reason: "no configuration yet", cause: "the host had just started"},
 	{section: sectionRejected, part: "request", action: "refused: unknown outcome", cause: "the store did not answer in time; the job may have been accepted"},
 	{section: sectionRejected, part: "request", action: "refused: no such queue", cause: "host or path fit no queue of the configuration in force"},
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -83,7 +83,7 @@
 // pollShards reads the loads of the shards periodically. It reads the leases of the
 // shards without a recent load and of those that this host leads.
 func (s *State) pollShards() {
-	s.readShards(func(r RowsRead) {
+	s.readShards(readTimeout, func(r RowsRead) {
 		vacant := false
 		if r.Outcome == structs.OutcomeDone {
 			vacant = s.followLeaders()
--- a/core/scheduler/route.go
+++ b/core/scheduler/route.go
@@ -11,17 +11,6 @@
 // job.
 const freshLoadTime = 150 * time.Millisecond
 
-// withLoads calls then once the loads of the shards are recent. If they cannot be read
-// it uses those that are known.
-func (s *State) withLoads(then func()) {
-	v := &s.shards
-	if v.everRead && (v.count() == 1 || s.now-v.readAt < freshLoadTime) {
-		then()
-		return
-	}
-	s.readShards(func(RowsRead) { then() })
-}
-
 // chooseShard returns the shard for a new job: the one with more room of two that are
 // drawn at random from those that can run it. Loads are some tenths of a second old,
 // so that the best of all shards would be chosen by all hosts at once.
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -31,6 +31,7 @@
 	loadVersions  map[ShardID]structs.Version
 	storeMS       int64         // the store's clock at readAt
 	readAt        Instant       // of the last complete read
+	readTime      time.Duration // that it took
 	everRead      bool          // the rows have been read
 	readableSince Instant       // since when they can be read; 0: they cannot be read
 	leaderships   []*leadership // by shard
@@ -97,12 +98,16 @@
 }
 
 // readShards reads the loads of all shards, and passes the result to done.
-func (s *State) readShards(done func(RowsRead)) {
-	s.read(ReadRows{Table: TableShards, Partition: loadPartition}, func(r RowsRead) {
+func (s *State) readShards(timeout time.Duration, done func(RowsRead)) {
+	sentAt := s.now
+	s.read(ReadRows{Table: TableShards, Partition: loadPartition, Timeout: timeout}, func(r RowsRead) {
 		v := &s.shards
-		trackSince(&v.readableSince, r.Outcome == structs.OutcomeDone, s.now)
-		if r.Outcome == structs.OutcomeDone {
-			v.storeMS, v.readAt, v.everRead = r.StoreMS, s.now, true
+		readable := r.Outcome == structs.OutcomeDone
+		if readable || timeout >= readTimeout { // a shorter read proves nothing about a slow store
+			trackSince(&v.readableSince, readable, s.now)
+		}
+		if readable {
+			v.storeMS, v.readAt, v.readTime, v.everRead = r.StoreMS, s.now, s.now-sentAt, true
 			s.applyShardRows(r.Rows)
 		}
 		done(r)
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -29,6 +29,7 @@
 	requests requestState
 	shards   shardView
 	stopping bool
+	answerBy Instant // while stopping: all requests are answered by then
 	ready    bool
 	watches  map[watchKey]*watch
 
@@ -169,6 +170,10 @@
 		return
 	}
 	s.stopping = true
+	s.answerBy = s.now + s.bounds.StopGracePeriod*answerShareEighths/8
+	for _, r := range s.requests.open {
+		r.deadline = min(r.deadline, s.answerBy)
+	}
 	s.logDecision(Decision{Part: "host", Action: "planned stop began", Subject: s.self.Host})
 	for _, l := range slices.Clone(s.leaders) {
 		l.releaseLeadership("planned stop")
@@ -183,6 +188,10 @@
 // stops sending connections after two failed probes.
 const stopServeTime = 2500 * time.Millisecond
 
+// answerShareEighths is the part of the grace period, in eighths, within which all
+// requests are answered after the signal to stop: before their connections are closed.
+const answerShareEighths = 5
+
 // updateReady reports to the balancer whether the host can serve callers.
 func (s *State) updateReady() {
 	ready := s.config.known() && !s.stopping && s.store.reachable(s.now)
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
@@ -11,7 +12,8 @@
 	// answers within about half a second; a dead connection costs one call.
 	readTimeout   = 1200 * time.Millisecond
 	commitTimeout = 1200 * time.Millisecond
-	// storeFailureGrace is how long calls may fail before the store counts as unreachable.
+	// storeFailureGrace is how long no call may be answered before the host reports itself
+	// not ready.
 	storeFailureGrace = 2 * time.Second
 	// refuseAfterFailures is the number of consecutive failures after which callers
 	// are refused without a call to the store.
@@ -52,11 +54,18 @@
 	}
 	h.failing = true
 	h.failures++
+	if h.failures == refuseAfterFailures {
+		s.after(max(h.lastSuccess+storeFailureGrace-s.now, 0), s.updateReady)
+	}
+	if h.away(s.now) {
+		s.after(0, s.giveUpWhileAway) // once the outcome of this call is recorded
+	}
 }
 
-// reachable reports whether the host should take new connections.
+// reachable reports whether the host should take new connections. The time counts from
+// the last answered call, since a call to a silent store fails only at its timeout.
 func (h *storeHealth) reachable(now Instant) bool {
-	return h.everReached && (!h.failing || now-h.failingSince < storeFailureGrace)
+	return h.everReached && (!h.shouldRefuse() || now-h.lastSuccess < storeFailureGrace)
 }
 
 // shouldRefuse reports whether requests should be refused without a call to the
@@ -64,6 +73,12 @@
 // the store is reachable again.
 func (h *storeHealth) shouldRefuse() bool { return h.failing && h.failures >= refuseAfterFailures }
 
+// away reports whether all calls have failed for so long that the requests in progress
+// are better served by another host.
+func (h *storeHealth) away(now Instant) bool {
+	return h.shouldRefuse() && now-h.lastSuccess >= storeAwayTime
+}
+
 func outcomeName(o structs.Outcome) string {
 	switch o {
 	case structs.OutcomeDone:
@@ -76,7 +91,7 @@
 
 // read reads rows and passes the result to done.
 func (s *State) read(e ReadRows, done func(RowsRead)) {
-	e.Timeout = readTimeout
+	e.Timeout = cmp.Or(e.Timeout, readTimeout)
 	e.ID = s.expectOutcome(func(body EventBody) {
 		r := body.(RowsRead)
 		s.store.observe(s, r.Outcome)
@@ -87,7 +102,7 @@
 
 // commit writes rows and passes the result to done.
 func (s *State) commit(e Commit, done func(Committed)) {
-	e.Timeout = commitTimeout
+	e.Timeout = cmp.Or(e.Timeout, commitTimeout)
 	e.ID = s.expectOutcome(func(body EventBody) {
 		r := body.(Committed)
 		if len(r.Conflicts) > 0 {
--- a/entry/internal/platformhost/requests.go
+++ b/entry/internal/platformhost/requests.go
@@ -47,7 +47,7 @@
 	}
 	select {
 	case a := <-answer:
-		h.host.metrics.RecordCall(requestLabel(arrived.Kind), a.Status.String(), time.Since(start))
+		h.host.metrics.RecordCall(arrived.Kind.String(), a.Status.String(), time.Since(start))
 		if err := platform.EncodeAnswer(w, a); err != nil {
 			h.host.log.Info("request: the answer could not be written", "request", uint64(id), "error", err)
 		}
@@ -94,15 +94,3 @@
 		h.host.log.Info("request: the answer could not be written", "error", err)
 	}
 }
-
-func requestLabel(k scheduler.RequestKind) string {
-	switch k {
-	case scheduler.RequestSubmit:
-		return "submit"
-	case scheduler.RequestState:
-		return "state"
-	case scheduler.RequestCancel:
-		return "cancel"
-	}
-	return "invalid"
-}
