--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -37,7 +37,7 @@
 		accept()
 		return
 	}
-	s.readRow(TableJobs, jobPartition(job.ID), string(job.ID), func(got RowsRead) {
+	s.readRow(r, TableJobs, jobPartition(job.ID), string(job.ID), func(got RowsRead) {
 		switch {
 		case got.Outcome != structs.OutcomeDone:
 			accept() // the commit tells whether the job is stored
--- a/core/scheduler/admission_test.go
+++ b/core/scheduler/admission_test.go
@@ -110,7 +110,7 @@
 func TestUnknownLoadAccepts(t *testing.T) {
 	for name, disturb := range map[string]func(sim *simulation, leader *fakeHost){
 		"leader frozen": func(sim *simulation, leader *fakeHost) {
-			sim.hosts[1].state.stopping = true // does not take over
+			sim.hosts[1].state.stopping, sim.hosts[1].state.answerBy = true, time.Hour // does not take over
 			leader.frozen = true
 			sim.advance(maxLoadAge + time.Second)
 		},
@@ -120,7 +120,7 @@
 			sim.advance(time.Second)
 		},
 		"load unreadable": func(sim *simulation, leader *fakeHost) {
-			sim.hosts[1].state.stopping = true
+			sim.hosts[1].state.stopping, sim.hosts[1].state.answerBy = true, time.Hour
 			leader.kill()
 			sim.store.version++
 			sim.store.put(fakeRowID{TableShards, loadPartition, ShardID(0).loadKey()}, WorkerRow{})
