ordering: the scale of slack follows the expected wait

Change: the lookahead is at least twice the time in which the waiting work is done at the measured rate.

--- a/core/ordering/ordering.go
+++ b/core/ordering/ordering.go
@@ -55,14 +55,24 @@
 	urgency  float64 // higher comes first
 }
 
-// lookaheadChains is the slack, in usual chains, within which the urgency of a job falls by
-// the factor e. With a shorter one the order nears that by slack, which is poor under a
-// long overload; with a longer one that by value per work, which delays large jobs.
-const lookaheadChains = 3
-
-// RankOf returns the rank of a job. UsualChain is the longest chain of a usual job.
-func RankOf(j Job, usualChain time.Duration) Rank {
-	lookahead := lookaheadChains * usualChain
+const (
+	// lookaheadChains usual chains, and lookaheadWaits times the expected wait, are the
+	// slack within which the urgency of a job falls by the factor e. With a shorter one the
+	// order nears that by slack, which is poor under a long overload; with a longer one that
+	// by value per work, which delays large jobs. Slack that is below the wait for room does
+	// not tell jobs apart.
+	lookaheadChains = 3
+	lookaheadWaits  = 2
+)
+
+// Lookahead returns the scale on which slack counts, from the longest chain of a usual job
+// and the time in which the work that waits is done.
+func Lookahead(usualChain, wait time.Duration) time.Duration {
+	return max(lookaheadChains*usualChain, lookaheadWaits*wait)
+}
+
+// RankOf returns the rank of a job.
+func RankOf(j Job, lookahead time.Duration) Rank {
 	r := Rank{priority: j.Priority}
 	onTime := j.Objective - j.Age - j.Chain
 	useful := WorthlessFactor*j.Objective - j.Age - j.Chain
--- a/core/ordering/replay_test.go
+++ b/core/ordering/replay_test.go
@@ -25,6 +25,12 @@
 
 	step, waiting, running int
 	ended                  float64 // 0: not yet
+	load                   *replayedLoad
+}
+
+// replayedLoad is what all jobs of a replay have in common.
+type replayedLoad struct {
+	waitingWork float64 // in core-seconds, by declared run times
 }
 
 // chain returns the run time of the steps from one on, by a run time of each.
@@ -126,9 +132,11 @@
 	const pass = 0.02
 	var waiting []*replayedJob
 	var ends taskEnds
+	var load replayedLoad
 	arrived, left := 0, len(jobs)
 	for now := 0.0; left > 0; now += pass {
 		for ; arrived < len(jobs) && jobs[arrived].at <= now; arrived++ {
+			jobs[arrived].load = &load
 			waiting = append(waiting, jobs[arrived])
 		}
 		for len(ends) > 0 && ends[0].at <= now {
@@ -148,6 +156,10 @@
 		if cores == 0 || len(waiting) == 0 {
 			continue
 		}
+		load.waitingWork = 0
+		for _, j := range waiting {
+			load.waitingWork += j.describe(now).Work
+		}
 		slices.SortStableFunc(waiting, func(a, b *replayedJob) int { return order(a, b, now) })
 		for _, j := range waiting {
 			for ; j.waiting > 0 && cores > 0; cores-- {
@@ -202,7 +214,8 @@
 func leastSlack(j Job) float64    { return (j.Objective - j.Age - j.Chain).Seconds() }
 
 func byUrgency(a, b *replayedJob, now float64) int {
-	return RankOf(a.describe(now), usualChain).Compare(RankOf(b.describe(now), usualChain))
+	lookahead := Lookahead(usualChain, seconds(a.load.waitingWork/replayedCores))
+	return RankOf(a.describe(now), lookahead).Compare(RankOf(b.describe(now), lookahead))
 }
 
 const (
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -19,8 +19,9 @@
 
 // rankedJob is a waiting job with its rank in one pass.
 type rankedJob struct {
-	job  *job
-	rank ordering.Rank
+	job       *job
+	described ordering.Job
+	rank      ordering.Rank
 }
 
 // observeJob records the work and the chain of a job that is admitted.
@@ -56,38 +57,75 @@
 // waitingJobs returns the jobs with tasks that wait for a run, in the order in which they
 // get room.
 func (l *leaderState) waitingJobs(now Instant) []*job {
-	o := &l.order
-	o.ranked = o.ranked[:0]
-	starving := make(map[int]int) // index of the job that has starved longest, by priority
-	for _, j := range l.openJobs {
-		if j.waitingTasks == 0 || !j.schedulable() {
-			continue
-		}
-		described := l.describeForOrder(j, now)
-		if j.activeRuns == 0 && ordering.Starves(described, j.idle(now)) {
-			at, found := starving[described.Priority]
-			if !found || j.idle(now) > o.ranked[at].job.idle(now) {
-				starving[described.Priority] = len(o.ranked)
-			}
+	ranked := l.describeWaiting(now)
+	l.order.ranked = ranked
+	work := 0.0
+	for i := range ranked {
+		if !ranked[i].described.Persistent {
+			work += ranked[i].described.Work
 		}
-		o.ranked = append(o.ranked, rankedJob{j, ordering.RankOf(described, o.usualChain())})
 	}
-	for _, at := range starving {
-		o.ranked[at].rank = o.ranked[at].rank.Promote()
+	lookahead := ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
+	for i := range ranked {
+		ranked[i].rank = ordering.RankOf(ranked[i].described, lookahead)
 	}
-	slices.SortFunc(o.ranked, func(a, b rankedJob) int {
+	promoteStarving(ranked, now)
+	slices.SortFunc(ranked, func(a, b rankedJob) int {
 		if c := a.rank.Compare(b.rank); c != 0 {
 			return c
 		}
 		return strings.Compare(string(a.job.ID), string(b.job.ID))
 	})
-	jobs := make([]*job, len(o.ranked))
-	for i, r := range o.ranked {
+	jobs := make([]*job, len(ranked))
+	for i, r := range ranked {
 		jobs[i] = r.job
 	}
 	return jobs
 }
 
+// describeWaiting returns the jobs with tasks that wait for a run, without their ranks.
+func (l *leaderState) describeWaiting(now Instant) []rankedJob {
+	ranked := l.order.ranked[:0]
+	for _, j := range l.openJobs {
+		if j.waitingTasks > 0 && j.schedulable() {
+			ranked = append(ranked, rankedJob{job: j, described: l.describeForOrder(j, now)})
+		}
+	}
+	return ranked
+}
+
+// promoteStarving promotes, of each priority, the job that has starved longest.
+func promoteStarving(ranked []rankedJob, now Instant) {
+	longest := make(map[int]*rankedJob)
+	for i := range ranked {
+		r := &ranked[i]
+		idle := r.job.idle(now)
+		if r.job.activeRuns > 0 || !ordering.Starves(r.described, idle) {
+			continue
+		}
+		if other := longest[r.described.Priority]; other == nil || idle > other.job.idle(now) {
+			longest[r.described.Priority] = r
+		}
+	}
+	for _, r := range longest {
+		r.rank = r.rank.Promote()
+	}
+}
+
+// drainTime returns in what time some work, in processor-seconds, is done at the present
+// rate of the shard; 0 if the rate is not known.
+func (l *leaderState) drainTime(work float64) time.Duration {
+	const milliCoresPerCore = 1000
+	rate := 0.0
+	for _, done := range l.workDone {
+		rate += done.Rate(l.state.now) / milliCoresPerCore
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return min(time.Duration(work/rate*float64(time.Second)), maxObjective)
+}
+
 // idle returns how long a job without runs has had none.
 func (j *job) idle(now Instant) time.Duration { return now - max(j.submittedAt, j.lastRunEndedAt) }
 
