scheduler: explain what would happen to a job that is not submitted

Callers and operators could not tell beforehand whether a job would be refused or wait, and why. ExplainRequested answers with the decision of the code that admits, routes and places: the refusal, the shards in question, and, where this host leads one, the place in the order and the workers that each condition keeps out. The conditions of place.go return their names, so that there is one copy of them. An explanation draws no random number, runs no deferred work and records no image, so that later events have the same effects with and without it.

--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -88,6 +88,15 @@
 	return id
 }
 
+// FindImage returns the number of an image like ImageIDOf, but records nothing: an image that
+// is not known gets a number that no other image has.
+func (m *Model) FindImage(name string) ImageID {
+	if id, ok := m.ids[name]; ok {
+		return id
+	}
+	return ImageID(len(m.images))
+}
+
 // Learned returns what the model has learned: base tails, and the pairs with the most
 // certain estimates first.
 func (m *Model) Learned() ([]BaseTail, []Pair) {
@@ -120,8 +129,9 @@
 // expectedOf returns the estimate for a best-effort image on a serving image beside which
 // it has not run: what it does to other serving images tells something about it.
 func (m *Model) expectedOf(bestEffort ImageID) Pressure {
-	if p := m.expected[bestEffort]; p != (Pressure{}) {
-		return p
+	recorded := int(bestEffort) < len(m.expected)
+	if recorded && m.expected[bestEffort] != (Pressure{}) {
+		return m.expected[bestEffort]
 	}
 	const ownWeight = 1 / (priorVariance - pairVariance)
 	weight, sum := ownWeight, ownWeight*priorPressure
@@ -131,8 +141,11 @@
 			weight, sum = weight+w, sum+w*row[bestEffort].Value
 		}
 	}
-	m.expected[bestEffort] = Pressure{sum / weight, 1/weight + pairVariance}
-	return m.expected[bestEffort]
+	p := Pressure{sum / weight, 1/weight + pairVariance}
+	if recorded {
+		m.expected[bestEffort] = p
+	}
+	return p
 }
 
 // estimate returns the estimate for a pair, to be changed. The pointer is valid until the
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -71,26 +71,37 @@
 
 // decideAdmission decides on a new job by the loads that the host knows.
 func (s *State) decideAdmission(job *structs.Job) admission.Decision {
+	demand, limits, applies := s.admissionOf(job)
+	if !applies {
+		return admission.Decision{}
+	}
+	const draws = 1 << 16
+	limits.RandomFactor = float64(s.draw()%draws) / draws
+	return admission.Decide(demand, s.admission.reports, limits)
+}
+
+// admissionOf returns what the decision on a new job depends on, without a random factor, and
+// gathers the reports. It reports whether a job like it may be refused at all.
+func (s *State) admissionOf(job *structs.Job) (demand admission.Demand, limits admission.Limits, applies bool) {
 	policy := s.config.policyOf(job)
 	mostUrgent, admits := s.config.admissionOf(policy)
 	if !admits || job.Repeat != nil || job.Persistent() || !s.storeQuiet() || !s.gatherReports(job, policy.Service) {
-		return admission.Decision{}
+		return demand, limits, false
 	}
 	chain := criticalPath(job.Steps)
 	if chain == 0 {
-		return admission.Decision{} // it declares no run times
+		return demand, limits, false // it declares no run times
 	}
-	demand := admission.Demand{
+	demand = admission.Demand{
 		Priority: policy.Priority, Chain: chain, Stretch: policy.Stretch, Slack: policy.Slack, Worthless: ordering.WorthlessFactor,
 	}
 	for i := range job.Steps {
 		demand.Work += taskWork(&job.Steps[i]) * admission.Work(job.Steps[i].Count)
 	}
-	const draws = 1 << 16
-	return admission.Decide(demand, s.admission.reports, admission.Limits{
+	return demand, admission.Limits{
 		MaxAge: maxLoadAge, MinMeasured: rateWarmUp, MaxTasks: maxWaitingTasks, MostUrgent: mostUrgent,
-		MinRetry: minRefusalRetry, MaxRetry: maxRefusalRetry, RandomFactor: float64(s.draw()%draws) / draws,
-	})
+		MinRetry: minRefusalRetry, MaxRetry: maxRefusalRetry,
+	}, true
 }
 
 // admissionOf reports whether jobs of a queue may be refused: it has a completion objective
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -135,6 +135,15 @@
 	RetryAfter     time.Duration // of AnswerNotRun and AnswerUnknown
 }
 
+// Explained answers an ExplainRequested. The explanation is empty unless Status is AnswerOK or
+// AnswerNotRun; Reason then tells what is wrong with the submission.
+type Explained struct {
+	Request     RequestID
+	Status      AnswerStatus
+	Reason      string
+	Explanation Explanation
+}
+
 // SetReady tells the balancer whether the host takes new connections.
 type SetReady struct{ Ready bool }
 
@@ -168,6 +177,7 @@
 func (ThrottleTask) isEffect() {}
 func (AskAdvice) isEffect()    {}
 func (Answer) isEffect()       {}
+func (Explained) isEffect()    {}
 func (SetReady) isEffect()     {}
 func (Decision) isEffect()     {}
 func (ShardReport) isEffect()  {}
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -80,6 +80,10 @@
 	Timeout       time.Duration // how long the caller waits for the answer
 }
 
+// ExplainRequested asks what would happen to a job if it were submitted now. It has the fields
+// of the submission, whose path may lack the job's ID, and changes nothing.
+type ExplainRequested struct{ Submission RequestArrived }
+
 // CallerGone reports that the caller disconnected before the answer.
 type CallerGone struct{ Request RequestID }
 
@@ -170,13 +174,14 @@
 	Tickets map[structs.WorkerID]string // by worker that may run the step
 }
 
-func (Started) isEvent()        {}
-func (TimerFired) isEvent()     {}
-func (StopRequested) isEvent()  {}
-func (RequestArrived) isEvent() {}
-func (CallerGone) isEvent()     {}
-func (RowsRead) isEvent()       {}
-func (Committed) isEvent()      {}
-func (WorkerSynced) isEvent()   {}
-func (CommandDone) isEvent()    {}
-func (AdviceReceived) isEvent() {}
+func (Started) isEvent()          {}
+func (TimerFired) isEvent()       {}
+func (StopRequested) isEvent()    {}
+func (RequestArrived) isEvent()   {}
+func (ExplainRequested) isEvent() {}
+func (CallerGone) isEvent()       {}
+func (RowsRead) isEvent()         {}
+func (Committed) isEvent()        {}
+func (WorkerSynced) isEvent()     {}
+func (CommandDone) isEvent()      {}
+func (AdviceReceived) isEvent()   {}
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -84,5 +84,5 @@
 
 // imageOf returns the number of a step's image.
 func (l *leaderState) imageOf(step *structs.Step) colocation.ImageID {
-	return l.interference.ImageIDOf(step.Image)
+	return l.interference.FindImage(step.Image)
 }
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -48,13 +48,34 @@
 }
 
 // matches reports whether a worker accepts starts and has what the step requires.
-func (f *stepFilter) matches(w *worker) bool {
-	return w.entry.Service == f.policy.Service && w.acceptsStarts() && w.hasLabel(f.step.Label)
+func (f *stepFilter) matches(w *worker) bool { return f.mismatch(w) == notExcluded }
+
+// mismatch returns why a worker does not accept starts or lacks what the step requires.
+func (f *stepFilter) mismatch(w *worker) exclusion {
+	if w.entry.Service != f.policy.Service {
+		return ofOtherService
+	}
+	if e := w.startExclusion(); e != notExcluded {
+		return e
+	}
+	if !w.hasLabel(f.step.Label) {
+		return withoutLabel
+	}
+	return notExcluded
 }
 
 // suits reports whether a task may be started on a worker when it has room.
-func (f *stepFilter) suits(w *worker) bool {
-	return f.matches(w) && !(w.quarantined() && f.avoidsQuarantined())
+func (f *stepFilter) suits(w *worker) bool { return f.unsuitable(w) == notExcluded }
+
+// unsuitable returns why a task may not be started on a worker even if it has room.
+func (f *stepFilter) unsuitable(w *worker) exclusion {
+	if e := f.mismatch(w); e != notExcluded {
+		return e
+	}
+	if w.quarantined() && f.avoidsQuarantined() {
+		return inQuarantine
+	}
+	return notExcluded
 }
 
 // avoidsQuarantined reports whether tasks of the step are kept from workers in quarantine.
@@ -70,15 +91,50 @@
 
 // accepts reports whether a task may be started on a worker now, as far as its room is
 // concerned.
-func (f *stepFilter) accepts(w *worker) bool {
-	if !f.suits(w) || !f.hasRoom(w) {
-		return false
+func (f *stepFilter) accepts(w *worker) bool { return f.withoutRoom(w) == notExcluded }
+
+// withoutRoom returns why a worker is not suitable or has no room for a task now.
+func (f *stepFilter) withoutRoom(w *worker) exclusion {
+	if e := f.unsuitable(w); e != notExcluded {
+		return e
+	}
+	if !f.hasRoom(w) {
+		return full
 	}
 	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || w.kept.preempted || f.yieldsKeptRoom()) {
-		return false
+		return keepsRoomForOther
+	}
+	if e := f.withoutIdleCPU(w); e != notExcluded && !(f.job.starved(f.leader.state.now) && w.colocated.ToleratesStarved()) {
+		return e
+	}
+	return notExcluded
+}
+
+// withoutIdleCPU returns why a best-effort task finds too little idle CPU on a worker.
+func (f *stepFilter) withoutIdleCPU(w *worker) exclusion {
+	switch {
+	case !f.step.BestEffort:
+	case w.guard.SpeedLimit != fullSpeed:
+		return paced
+	case w.idleMilliCores() < f.step.Request.MilliCores:
+		return tooLittleIdleCPU
 	}
-	return !f.step.BestEffort || w.guard.SpeedLimit == fullSpeed && w.idleMilliCores() >= f.step.Request.MilliCores ||
-		f.job.starved(f.leader.state.now) && w.colocated.ToleratesStarved()
+	return notExcluded
+}
+
+// exclusion returns why no task may be started on a worker now, but for the tolerance of its
+// serving tasks, which the score tells.
+func (f *stepFilter) exclusion(w *worker) exclusion {
+	if e := f.withoutRoom(w); e != notExcluded {
+		return e
+	}
+	if !w.withinStepLimit(f.key, f.step) {
+		return atStepLimit
+	}
+	if _, allowed := f.leader.ticketFor(w, f.key, f.policy); !allowed {
+		return withoutAdvice
+	}
+	return notExcluded
 }
 
 // yieldsKeptRoom reports whether tasks of the step wait where room is kept for another
@@ -111,12 +167,29 @@
 }
 
 // acceptsStarts reports whether tasks may be started on the worker now.
-func (w *worker) acceptsStarts() bool {
+func (w *worker) acceptsStarts() bool { return w.startExclusion() == notExcluded }
+
+// startExclusion returns why no task may be started on the worker now.
+func (w *worker) startExclusion() exclusion {
 	now := w.leader.state.now
-	inUse := w.listed && w.entryIsCurrent() && !w.entry.Draining
-	answers := w.listsRead && w.failedSyncs == 0 && w.startsPausedUntil <= now
 	stored := w.used && w.usedAddress == w.entry.Address && !w.endPublished && w.foreign.known(now)
-	return inUse && answers && stored && !w.startsHeldForAck() && !w.inEvacuatedZone()
+	switch {
+	case !w.listed || !w.entryIsCurrent():
+		return notListed
+	case w.entry.Draining:
+		return draining
+	case !w.listsRead || w.failedSyncs > 0:
+		return notAnswering
+	case w.startsPausedUntil > now:
+		return pausedStarts
+	case !stored:
+		return notStored
+	case w.startsHeldForAck():
+		return heldForAck
+	case w.inEvacuatedZone():
+		return inEvacuatedZone
+	}
+	return notExcluded
 }
 
 // inService reports whether the worker is expected to accept starts, at present or soon.
--- a/core/scheduler/ranking.go
+++ b/core/scheduler/ranking.go
@@ -54,13 +54,10 @@
 // may not be started there.
 func (r *ranking) rate(w *worker) (float64, bool) {
 	f := r.filter
-	if !f.accepts(w) || !w.withinStepLimit(f.key, f.step) {
+	if f.exclusion(w) != notExcluded {
 		return 0, false
 	}
 	l := f.leader
-	if _, allowed := l.ticketFor(w, f.key, f.policy); !allowed {
-		return 0, false
-	}
 	l.schedule.scoredWorkers++
 	return l.score(w, f.job, f.step, l.imageOf(f.step))
 }
--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -118,26 +118,10 @@
 
 // submit stores a job. The caller is sent AnswerOK only once the job is stored.
 func (s *State) submit(r *request, q *structs.Queue, a RequestArrived) {
-	limit := s.config.current.MaxBody
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if a.Body > limit {
-		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the body is over the limit"})
-		return
-	}
 	job := a.Job
 	job.ID, job.Queue, job.Policy, job.SubmittedMS = r.job, q.Name, q.Policy, s.wall
-	if reason := invalidReason(&job); reason != "" {
-		s.answer(r, Answer{Status: AnswerInvalid, Reason: reason})
-		return
-	}
-	if limit := s.bounds.rowLimit(); jobBytes(&job) > limit-limit/jobRowReserve {
-		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"})
-		return
-	}
-	if s.store.shouldRefuse() {
-		s.answer(r, Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter})
+	if refusal := s.refusalOf(&job, a.Body); refusal.Status != AnswerOK {
+		s.answer(r, refusal)
 		return
 	}
 	s.withLoads(func() {
@@ -148,6 +132,28 @@
 	})
 }
 
+// refusalOf returns the answer to a submission that is refused whatever the load is, or an
+// answer with AnswerOK. Body is the size of the request's body in bytes.
+func (s *State) refusalOf(job *structs.Job, body int64) Answer {
+	limit := s.config.current.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if body > limit {
+		return Answer{Status: AnswerTooLarge, Reason: "the body is over the limit"}
+	}
+	if reason := invalidReason(job); reason != "" {
+		return Answer{Status: AnswerInvalid, Reason: reason}
+	}
+	if limit := s.bounds.rowLimit(); jobBytes(job) > limit-limit/jobRowReserve {
+		return Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"}
+	}
+	if s.store.shouldRefuse() {
+		return Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter}
+	}
+	return Answer{Status: AnswerOK}
+}
+
 func (s *State) storeJob(r *request, job structs.Job) {
 	key, partition := string(job.ID), jobPartition(job.ID)
 	s.commit(Commit{
--- a/core/scheduler/route.go
+++ b/core/scheduler/route.go
@@ -31,10 +31,7 @@
 		return 0
 	}
 	service := s.config.policyOf(j).Service
-	candidates, suitable := s.shards.suitable(j, service, s.now)
-	if len(suitable) > 0 {
-		candidates = suitable
-	}
+	candidates := s.shards.candidates(j, service, s.now)
 	if len(candidates) == 0 {
 		return ShardID(s.draw() % uint64(n))
 	}
@@ -45,6 +42,16 @@
 	return best
 }
 
+// candidates returns the shards of which that of a new job is chosen. Without any, it is one of
+// all shards.
+func (v *shardView) candidates(j *structs.Job, service string, now Instant) []ShardID {
+	led, suitable := v.suitable(j, service, now)
+	if len(suitable) > 0 {
+		return suitable
+	}
+	return led
+}
+
 // suitable returns the shards with leaders that have workers for a job, and those of
 // them that have room for its first step and all labels that it names.
 func (v *shardView) suitable(j *structs.Job, service string, now Instant) (led, suitable []ShardID) {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -51,6 +51,10 @@
 	s.effects = s.effects[:0]
 	s.now = max(s.now, e.At)
 	s.wall = e.Wall
+	if b, ok := e.Body.(ExplainRequested); ok {
+		s.emit(s.explain(&b.Submission)) // no deferred work: the event changes no state
+		return s.effects
+	}
 	s.apply(e.Body)
 	s.runDeferred()
 	return s.effects
