--- a/api/wire/operator.go
+++ b/api/wire/operator.go
@@ -17,6 +17,11 @@
 	PathMetrics  = "/metrics"
 )
 
+// PathExplainJob is a path of the metrics listener of a host on the users' platform. It takes a
+// job as callers submit it, and the host name and path of its queue in the query. It is internal
+// to hosts and tamarackctl of one version.
+const PathExplainJob = "/explain" // POST ?host=&path=: scheduler.Explanation, or ErrorResponse
+
 // HeaderOperatorToken authenticates an operator's request if the settings contain
 // a token.
 const HeaderOperatorToken = "Tamarackstep-Operator-Token"
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -71,6 +71,7 @@
 	pools   map[string]*runner.Pool[scheduler.EventBody]
 
 	requests    *requestHandler
+	explainer   *explainHandler
 	shardGauges *shardGauges
 	ready       atomic.Bool
 	stopped     chan struct{} // closed when the planned stop is complete
@@ -103,6 +104,7 @@
 	h.workers = platform.NewWorkers(client(workerConnections))
 	h.advisor = platform.NewAdvisor(client(1), s.Advice)
 	h.requests = newRequestHandler(h)
+	h.explainer = newExplainHandler(h.loop.TryPost)
 	h.shardGauges = newShardGauges(h.metrics, h.clock)
 	h.registerGauges(logQueue)
 	return h
@@ -169,7 +171,9 @@
 	case scheduler.AskAdvice:
 		h.submit(advicePool, "advise", h.settings.Advice, e.Timeout, newEffectRequest(h.advisor.Ask, e), scheduler.AdviceReceived{Effect: e.ID, Outcome: structs.OutcomeNotDone})
 	case scheduler.Answer:
-		h.requests.deliver(e)
+		h.requests.pending.deliver(e.Request, e)
+	case scheduler.Explained:
+		h.explainer.pending.deliver(e.Request, e)
 	case scheduler.SetReady:
 		h.ready.Store(e.Ready)
 	case scheduler.Decision:
--- a/entry/internal/platformhost/requests.go
+++ b/entry/internal/platformhost/requests.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/scheduler"
@@ -17,13 +15,11 @@
 // reducer, and waits for the reducer's answer.
 type requestHandler struct {
 	host    *Host
-	lastID  atomic.Uint64
-	mu      sync.Mutex
-	pending map[scheduler.RequestID]chan scheduler.Answer
+	pending *pendingRequests[scheduler.Answer]
 }
 
 func newRequestHandler(h *Host) *requestHandler {
-	return &requestHandler{host: h, pending: make(map[scheduler.RequestID]chan scheduler.Answer)}
+	return &requestHandler{host: h, pending: newPendingRequests[scheduler.Answer](maxPendingRequests)}
 }
 
 // ServeHTTP passes one request to the reducer and writes the answer.
@@ -34,12 +30,12 @@
 		h.host.log.Info("request: reading the body failed", "path", r.URL.Path, "error", err)
 		return
 	}
-	id, answer, ok := h.register()
+	id, answer, ok := h.pending.register()
 	if !ok {
 		h.refuse(w, "too many requests are in progress")
 		return
 	}
-	defer h.unregister(id)
+	defer h.pending.unregister(id)
 	arrived.Request = id
 	if err := h.host.loop.TryPost(arrived); err != nil {
 		h.refuse(w, err.Error())
@@ -56,35 +52,6 @@
 	}
 }
 
-// register allots an ID and an answer channel to a request. It fails when too
-// many requests are in progress.
-func (h *requestHandler) register() (scheduler.RequestID, chan scheduler.Answer, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(h.pending) >= maxPendingRequests {
-		return 0, nil, false
-	}
-	id := scheduler.RequestID(h.lastID.Add(1))
-	answer := make(chan scheduler.Answer, 1)
-	h.pending[id] = answer
-	return id, answer, true
-}
-
-func (h *requestHandler) unregister(id scheduler.RequestID) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.pending, id)
-}
-
-// deliver passes an answer to the goroutine that waits for it.
-func (h *requestHandler) deliver(a scheduler.Answer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if answer, ok := h.pending[a.Request]; ok {
-		answer <- a // never blocks: a request has one answer and the channel holds one
-	}
-}
-
 // refuse answers a request without passing it to the reducer.
 func (h *requestHandler) refuse(w http.ResponseWriter, reason string) {
 	h.host.log.Info("request: refused before it reached the control loop", "reason", reason)
--- a/entry/internal/platformhost/run.go
+++ b/entry/internal/platformhost/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/tamarackstep/tamarackstep/api/wire"
 	"github.com/tamarackstep/tamarackstep/core/scheduler"
 	"github.com/tamarackstep/tamarackstep/platform"
 )
@@ -82,8 +83,8 @@
 	}
 }
 
-// serveMetrics serves metrics if the port is free. The host runs without metrics
-// otherwise.
+// serveMetrics serves metrics and explanations if the port is free. The host runs without
+// them otherwise.
 func (h *Host) serveMetrics() {
 	ip, _, err := net.SplitHostPort(h.settings.Callers)
 	if err != nil {
@@ -97,6 +98,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { h.metrics.Write(w) })
+	mux.Handle("POST "+wire.PathExplainJob, h.explainer)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}
 	go func() {
 		if err := server.Serve(l); err != nil {
