--- a/cli/internal/app/app.go
+++ b/cli/internal/app/app.go
@@ -79,6 +79,10 @@
 	if _, ok := inv.Command.(command.Check); ok {
 		return render.ValidSheet{Origin: origin, Rows: rows}
 	}
+	if c, ok := inv.Command.(command.ExplainJob); ok {
+		origin.File = c.File
+		return explainJob(ctx, inv, c, stdin, origin)
+	}
 	report := send(ctx, inv, rows, origin)
 	if first, ok := report.(render.Explain); ok && len(first.Reply.Records) == 0 {
 		return explainFromOtherHosts(ctx, inv, first, origin)
--- a/cli/internal/command/command.go
+++ b/cli/internal/command/command.go
@@ -59,6 +59,13 @@
 // Explain shows the decisions about a row, task, call, partition or worker.
 type Explain struct{ Subject string }
 
+// ExplainJob shows what would happen to a job that is not submitted.
+type ExplainJob struct {
+	File string // with the job as callers submit it; "-" is standard input
+	Host string // host name of the queue
+	Path string // path of the queue, with or without the job's ID
+}
+
 // Stop stops rows of the sheet until they are resumed or changed, or resumes
 // stopped rows.
 type Stop struct {
@@ -93,27 +100,29 @@
 	SVG  string   // file for the plot; empty: none
 }
 
-func (Plan) isCommand()    {}
-func (Apply) isCommand()   {}
-func (Status) isCommand()  {}
-func (Explain) isCommand() {}
-func (Stop) isCommand()    {}
-func (Drain) isCommand()   {}
-func (Check) isCommand()   {}
-func (Replay) isCommand()  {}
-func (Trace) isCommand()   {}
-func (Report) isCommand()  {}
+func (Plan) isCommand()       {}
+func (Apply) isCommand()      {}
+func (Status) isCommand()     {}
+func (Explain) isCommand()    {}
+func (ExplainJob) isCommand() {}
+func (Stop) isCommand()       {}
+func (Drain) isCommand()      {}
+func (Check) isCommand()      {}
+func (Replay) isCommand()     {}
+func (Trace) isCommand()      {}
+func (Report) isCommand()     {}
 
 // Name implements Command.
-func (Plan) Name() string    { return "plan" }
-func (Apply) Name() string   { return "apply" }
-func (Status) Name() string  { return "status" }
-func (Explain) Name() string { return "explain" }
-func (Drain) Name() string   { return "drain" }
-func (Check) Name() string   { return "check" }
-func (Replay) Name() string  { return "replay" }
-func (Trace) Name() string   { return "trace" }
-func (Report) Name() string  { return "report" }
+func (Plan) Name() string       { return "plan" }
+func (Apply) Name() string      { return "apply" }
+func (Status) Name() string     { return "status" }
+func (Explain) Name() string    { return "explain" }
+func (ExplainJob) Name() string { return "explain" }
+func (Drain) Name() string      { return "drain" }
+func (Check) Name() string      { return "check" }
+func (Replay) Name() string     { return "replay" }
+func (Trace) Name() string      { return "trace" }
+func (Report) Name() string     { return "report" }
 
 // Name implements Command; it returns "stop" or "resume".
 func (s Stop) Name() string {
--- a/cli/internal/command/parse.go
+++ b/cli/internal/command/parse.go
@@ -175,6 +175,7 @@
 // build a Command from the arguments after parsing.
 func defineCommands(app *kingpin.Application, f *flagValues) map[string]func() Command {
 	builders := make(map[string]func() Command)
+	jobGiven := false
 	defineAuthorFlag := func(c *kingpin.CmdClause) {
 		c.Flag("author", "Name that the change is recorded under; the default is the user's name.").
 			Envar("TAMARACKCTL_AUTHOR").PlaceHolder("NAME").StringVar(&f.author)
@@ -200,9 +201,28 @@
 	tasks := status.Flag("tasks", "List every task of the partitions of that entry host.").Bool()
 	builders["status"] = func() Command { return Status{Tasks: *tasks} }
 
-	explain := defineCommand("explain", "Show why a row, task, call, partition or worker is as it is.", exampleExplain)
-	explainSubject := explain.Arg("subject", "Name of a row, task, call, partition or worker.").Required().String()
-	builders["explain"] = func() Command { return Explain{Subject: *explainSubject} }
+	explain := defineCommand("explain", "Show why a row, task, call, partition or worker is as it is, or where a job would go if it were submitted now. Changes nothing.", exampleExplain)
+	explainSubject := explain.Arg("subject", "Name of a row, task, call, partition or worker.").String()
+	job := explain.Flag("job", "File with a job as callers submit it; - is standard input. --host then names the metrics listener (port 9464) of a host of the users' platform.").PlaceHolder("FILE").IsSetByUser(&jobGiven).String()
+	queueHost := explain.Flag("queue-host", "Host name of the queue.").PlaceHolder("NAME").String()
+	queuePath := explain.Flag("queue-path", "Path of the queue, with or without a job's ID.").PlaceHolder("PATH").String()
+	explain.Validate(func(*kingpin.CmdClause) error {
+		switch {
+		case jobGiven == (*explainSubject != ""):
+			return errors.New("explain needs either a subject or --job")
+		case jobGiven && (*queueHost == "" || *queuePath == ""):
+			return errors.New("explain --job needs --queue-host and --queue-path")
+		case !jobGiven && (*queueHost != "" || *queuePath != ""):
+			return errors.New("--queue-host and --queue-path belong to explain --job")
+		}
+		return nil
+	})
+	builders["explain"] = func() Command {
+		if jobGiven {
+			return ExplainJob{File: cmp.Or(*job, "-"), Host: *queueHost, Path: *queuePath}
+		}
+		return Explain{Subject: *explainSubject}
+	}
 
 	for _, resume := range []bool{false, true} {
 		name, help, example := "stop", "Stop rows of the sheet until they are resumed or changed.", exampleStop
