explain: ask the leaders of all shards, bound the check of gangs, and document the command

Whether a gang fits is computed from the members that find room on each worker, since a search like that of a pass would hold up the control loop for a gang of thousands.

--- a/cli/internal/app/explainjob_test.go
+++ b/cli/internal/app/explainjob_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// TestExplainJobAsksLeaders guards against a verdict without the shards that other hosts lead, and
+// against a host that does not answer or knows less and takes away what another one told.
+func TestExplainJobAsksLeaders(t *testing.T) {
+	placement := func(accepting int) *scheduler.PlacementExplanation {
+		return &scheduler.PlacementExplanation{Steps: []scheduler.StepExplanation{{Workers: 4, Accepting: accepting, Excluded: []scheduler.ExclusionCount{{Reason: "has no room", Workers: 4 - accepting}}}}}
+	}
+	explanation := func(accepting ...int) scheduler.Explanation {
+		e := scheduler.Explanation{}
+		for i, n := range accepting {
+			x := scheduler.ShardExplanation{Shard: scheduler.ShardID(i), Leader: "front-a-1"}
+			if n >= 0 {
+				x.Placement = placement(n)
+			}
+			e.Shards = append(e.Shards, x)
+		}
+		e.SumUp()
+		return e
+	}
+	const unknown = -1
+	first := newHost(t, handlers{wire.PathExplainJob: respondJSON(http.StatusOK, explanation(unknown, 2))})
+	second := newHost(t, handlers{wire.PathExplainJob: respondJSON(http.StatusOK, explanation(0, unknown))})
+	down := newHost(t, nil)
+	down.Close()
+	for hosts, want := range map[string]string{
+		first.address(): "The job would be accepted: other hosts lead shards",
+		first.address() + "," + down.address() + "," + second.address(): "The job would start now or wait: it starts in 1 of 2 shards; elsewhere: no worker takes a task of step 0",
+	} {
+		status, stdout, stderr := run(t, []string{hosts}, "explain", "--job", "testdata/job.json", "--queue-host", "kiln.example", "--queue-path", "/glaze/")
+		if status != render.ExitDone || !strings.HasPrefix(stdout, want) {
+			t.Errorf("%s: exit status %d, stderr %s, stdout %s, want %s", hosts, status, stderr, stdout, want)
+		}
+	}
+}
+
 // TestExplainJobErrors guards against bad input that gives more than one line, exit status 0 or
 // a table on standard output.
 func TestExplainJobErrors(t *testing.T) {
--- a/cli/internal/render/explain_job.go
+++ b/cli/internal/render/explain_job.go
@@ -33,6 +33,9 @@
 	var b strings.Builder
 	x := e.Explanation
 	fmt.Fprintf(&b, "The job would %s: %s\n", cmp.Or(verdictTexts[x.Verdict], oneLine(string(x.Verdict))), oneLine(x.Reason))
+	if x.Verdict == scheduler.VerdictAccepted {
+		b.WriteString("Only the leader of a shard knows its workers: give the metrics listeners of all hosts with --host.\n")
+	}
 	if x.RetryAfterMS > 0 {
 		fmt.Fprintf(&b, "Callers are told to retry after %s, and up to half as long again.\n", formatMS(x.RetryAfterMS))
 	}
--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -18,7 +18,9 @@
 // shards in shards.go and backlog.go, the refusal of new jobs in admission.go, the
 // shard of a new job in route.go, moves of jobs in moving.go, leadership in
 // leadership.go and leader.go; the queue of one shard in schedule.go, its limit in
-// startwindow.go, and placement in ranking.go (order) and place.go (filter and score).
+// startwindow.go, and placement in ranking.go (order), place.go (filter and score) and
+// exclusion.go (the names of its conditions). explain.go tells what would happen to a job
+// that is not submitted.
 // What the leader stores is in commit.go (the chain of its commits), commititems.go
 // (the rows of one commit), progress.go (the rows of a job), usedworkers.go,
 // rowsize.go (the sizes of rows) and reject.go (rows that the store does not take);
--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -130,7 +130,7 @@
 		return out.refuse(Answer{Status: AnswerNotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter})
 	}
 	s.explainShards(&job, e)
-	e.Verdict, e.Reason = verdictOf(e.Shards)
+	e.SumUp()
 	return out
 }
 
@@ -244,6 +244,7 @@
 	x := StepExplanation{Step: stepIndex, Tasks: step.Count, Gang: step.Gang, Excluded: []ExclusionCount{}}
 	image := l.imageOf(step)
 	var counts [exclusions]int
+	members := 0 // of the gang that find room
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
 		excluded := f.exclusion(w)
@@ -258,13 +259,16 @@
 		if excluded != notExcluded {
 			continue
 		}
+		if step.Gang {
+			members += w.membersWithRoom(step)
+		}
 		x.ListsAgeMS = max(x.ListsAgeMS, (l.state.now - w.syncedAt).Milliseconds())
 		if x.Best == "" || score > x.Score {
 			x.Best, x.Score = id, score
 		}
 	}
 	x.Accepting = counts[notExcluded]
-	x.GangFits = step.Gang && l.pickGang(j, 0, stepIndex) != nil
+	x.GangFits = step.Gang && members >= step.Count
 	for e, n := range counts {
 		if exclusion(e) == ofOtherService {
 			continue
@@ -278,6 +282,26 @@
 	return x
 }
 
+// membersWithRoom returns how many members of a gang packGang could place on a worker that takes
+// one. Members are alike, so that a gang fits if as many find room; packGang itself would take
+// long for a large one.
+func (w *worker) membersWithRoom(step *structs.Step) int {
+	need, n := reservation(step), int64(step.Count)
+	if step.PerWorker > 0 {
+		n = min(n, int64(step.PerWorker))
+	}
+	for _, r := range [][3]int64{
+		{w.entry.Capacity.MilliCores, w.reserved.MilliCores, need.MilliCores},
+		{w.entry.Capacity.MemoryMB, w.reserved.MemoryMB, need.MemoryMB},
+		{w.entry.Capacity.Accelerators, w.reserved.Accelerators, need.Accelerators},
+	} {
+		if capacity, reserved, each := r[0], r[1], r[2]; each > 0 {
+			n = min(n, (capacity-reserved)/each)
+		}
+	}
+	return int(n)
+}
+
 // pictureAgeMS returns how old the picture of a watch is, or -1.
 func (s *State) pictureAgeMS(key watchKey) int64 {
 	p := s.pictureOf(key)
@@ -321,11 +345,14 @@
 	return fmt.Sprintf("no worker takes a task of step %d; most often a worker %s", x.Step, x.Excluded[0].Reason)
 }
 
-// verdictOf sums up what the shards would do with a job that is accepted.
-func verdictOf(shards []ShardExplanation) (Verdict, string) {
+// SumUp sets the verdict on a job that is accepted from what the shards would do with it. The
+// placements may come from the explanations of several hosts.
+func (e *Explanation) SumUp() { e.Verdict, e.Reason = e.verdict() }
+
+func (e *Explanation) verdict() (Verdict, string) {
 	starts, waits, reason := 0, 0, ""
-	for i := range shards {
-		x := &shards[i]
+	for i := range e.Shards {
+		x := &e.Shards[i]
 		switch {
 		case x.Placement != nil && x.Placement.starts():
 			starts++
@@ -338,12 +365,12 @@
 		}
 	}
 	switch {
-	case starts+waits < len(shards):
+	case starts+waits < len(e.Shards):
 		return VerdictAccepted, "other hosts lead shards that may get it"
 	case waits == 0:
 		return VerdictStarts, "its first tasks find room"
 	case starts == 0:
 		return VerdictWaits, reason
 	}
-	return VerdictDepends, fmt.Sprintf("it starts in %d of %d shards; elsewhere: %s", starts, len(shards), reason)
+	return VerdictDepends, fmt.Sprintf("it starts in %d of %d shards; elsewhere: %s", starts, len(e.Shards), reason)
 }
--- a/core/scheduler/explain_test.go
+++ b/core/scheduler/explain_test.go
@@ -29,6 +29,8 @@
 	small, large := singleStepJob(1, 3*time.Second, 1000), singleStepJob(1, 3*time.Second, 8000)
 	labelled, gang, bestEffort := chainJob(time.Second, 1, "r1"), singleStepJob(3, time.Second, 8000), singleStepJob(1, time.Second, 1000)
 	gang.Steps[0].Gang, bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, true, "unknown"
+	packed, overpacked, spread := singleStepJob(8, time.Second, 3000), singleStepJob(9, time.Second, 3000), singleStepJob(5, time.Second, 1000)
+	packed.Steps[0].Gang, overpacked.Steps[0].Gang, spread.Steps[0].Gang, spread.Steps[0].PerWorker = true, true, true, 1
 	later := small
 	later.Repeat = &structs.Repeat{Count: 2, FirstMS: wallStart + 60_000, EveryMS: 1000}
 	fill := func(sim *simulation) {
@@ -48,6 +50,9 @@
 		"best effort":     {nil, bestEffort, VerdictStarts, "find room", ""},
 		"not due":         {nil, later, VerdictWaits, "it is due in", ""},
 		"gang":            {nil, gang, VerdictStarts, "find room", ""},
+		"packed gang":     {nil, packed, VerdictStarts, "find room", ""},
+		"too many":        {nil, overpacked, VerdictWaits, "the gang finds no room at once", ""},
+		"too few workers": {nil, spread, VerdictWaits, "the gang finds no room at once", ""},
 		"full":            {fill, large, VerdictWaits, "has no room", "has no room"},
 		"gang that waits": {fill, gang, VerdictWaits, "has no room", "has no room"},
 		"evacuated": {func(sim *simulation) { sim.evacuate("z0", true); sim.evacuate("z1", true); sim.advance(time.Second) },
