--- a/core/scheduler/bench_test.go
+++ b/core/scheduler/bench_test.go
@@ -56,8 +56,8 @@
 }
 
 // BenchmarkPass measures one scheduling pass over 1,100 full workers, with 1,000 and with
-// 10,000 tasks that wait, and the order of the waiting jobs alone beside the former one by
-// soft deadlines.
+// 10,000 tasks that wait, one explanation there, and the order of the waiting jobs alone
+// beside the former one by soft deadlines.
 func BenchmarkPass(b *testing.B) {
 	const tasksPerJob = 20
 	for _, waiting := range []int{1_000, 10_000} {
@@ -82,6 +82,11 @@
 				l.waitingJobs(sim.now)
 			}
 		})
+		b.Run(fmt.Sprintf("explain/%d", waiting), func(b *testing.B) {
+			for b.Loop() {
+				sim.explain(sim.leader(), "/q/", singleStepJob(tasksPerJob, time.Second, 2000))
+			}
+		})
 		b.Run(fmt.Sprintf("former-order/%d", waiting), func(b *testing.B) {
 			for b.Loop() {
 				l.bySoftDeadline(sim.now)
