--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -123,32 +123,40 @@
 
 // submit stores a job. The caller is sent AnswerOK only once the job is stored.
 func (s *State) submit(r *request, q *structs.Queue, a RequestArrived) {
+	job := a.Job
+	job.ID, job.Queue, job.Policy, job.SubmittedMS = r.job, q.Name, q.Policy, s.wall
+	if refusal := s.refusalOf(&job, a.Body); refusal.Status != AnswerOK {
+		s.answer(r, refusal)
+		return
+	}
+	s.beforeStoring(r, func() {
+		s.admitNew(r, &job, func() {
+			job.Shard = int(s.chooseShard(&job))
+			s.storeJob(r, job)
+		})
+	})
+}
+
+// refusalOf returns the answer to a submission that is refused whatever the load is, or an
+// answer with AnswerOK. Body is the size of the request's body in bytes.
+func (s *State) refusalOf(job *structs.Job, body int64) Answer {
 	limit := s.config.current.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	if a.Body > limit {
-		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the body is over the limit"})
-		return
+	if body > limit {
+		return Answer{Status: AnswerTooLarge, Reason: "the body is over the limit"}
 	}
-	job := a.Job
-	job.ID, job.Queue, job.Policy, job.SubmittedMS = r.job, q.Name, q.Policy, s.wall
-	if reason := invalidReason(&job); reason != "" {
-		s.answer(r, Answer{Status: AnswerInvalid, Reason: reason})
-		return
+	if reason := invalidReason(job); reason != "" {
+		return Answer{Status: AnswerInvalid, Reason: reason}
 	}
-	if limit := s.bounds.rowLimit(); jobBytes(&job) > limit-limit/jobRowReserve {
-		s.answer(r, Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"})
-		return
+	if limit := s.bounds.rowLimit(); jobBytes(job) > limit-limit/jobRowReserve {
+		return Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"}
 	}
-	s.whileReachable(r, func() {
-		s.beforeStoring(r, func() {
-			s.admitNew(r, &job, func() {
-				job.Shard = int(s.chooseShard(&job))
-				s.storeJob(r, job)
-			})
-		})
-	})
+	if s.store.shouldRefuse() {
+		return Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter}
+	}
+	return Answer{Status: AnswerOK}
 }
 
 // readRow reads one row for a request.
