scheduler: the test of a job that is submitted again decides both jobs by the same loads

Cause: the mutation that it guards survived since the order of jobs changed: between the two submissions the leader reported free room for a moment, so that the accepted job was not refused in the first place. Change: both are submitted at once. The mutation fails the test again.

--- a/core/scheduler/admission_test.go
+++ b/core/scheduler/admission_test.go
@@ -98,10 +98,13 @@
 	sim.submitAndWait(sim.hosts[0], jobA, wideJob())
 	sim.submitMany(0x1000, 100)
 	sim.advance(time.Second)
-	if got := sim.answerOf(sim.hosts[1], jobB, wideJob()); got.Status != AnswerNotRun {
+	// Both are decided by the same loads.
+	newJob, again := sim.submit(sim.hosts[1], jobB, wideJob()), sim.submit(sim.hosts[1], jobA, wideJob())
+	sim.advance(200 * time.Millisecond)
+	if got := sim.answers[newJob]; got.Status != AnswerNotRun {
 		t.Fatalf("answer %+v to a new job, want not run", got)
 	}
-	if got := sim.answerOf(sim.hosts[1], jobA, wideJob()); got.Status != AnswerOK {
+	if got := sim.answers[again]; got.Status != AnswerOK {
 		t.Errorf("answer %+v to the accepted job, want ok", got)
 	}
 }
