--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -17,11 +17,12 @@
 // The files by subject: the division of workers into shards in plan.go, the loads
 // of shards in shards.go, the shard of a new job in route.go, moves of jobs in
 // moving.go, leadership in leadership.go and leader.go; the queue of one shard in
-// schedule.go, its limit in startwindow.go, and placement in ranking.go (order)
-// and place.go (filter and score). What the leader stores is in commit.go (the chain
-// of its commits), commititems.go (the rows of one commit), progress.go (the rows of a
-// job), usedworkers.go, rowsize.go (the sizes of rows) and reject.go (rows that the
-// store does not take); reads of whole tables are in bulkread.go.
+// schedule.go, its limits in startwindow.go (how many starts) and startlimit.go (until when),
+// and placement in ranking.go (order) and place.go (filter and score). Evacuated zones are in
+// evacuation.go, moves out of them in zonemoves.go, and off draining workers in drain.go. What
+// the leader stores is in commit.go (the chain of its commits), commititems.go (the rows of one
+// commit), progress.go (the rows of a job), usedworkers.go, rowsize.go (the sizes of rows) and
+// reject.go (rows that the store does not take); reads of whole tables are in bulkread.go.
 //
 // Two kinds of tasks share a worker. Serving tasks have a target for their tail
 // latency. Best-effort tasks use the CPU that other tasks leave idle; they are
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -138,6 +138,12 @@
 // SetReady tells the balancer whether the host takes new connections.
 type SetReady struct{ Ready bool }
 
+// ReportEvacuations tells the metrics how far evacuations are. It is sent when a number changes.
+type ReportEvacuations struct {
+	Zones    int // evacuated zones
+	RunsLeft int // runs there on the workers of the shards that the host leads
+}
+
 // Decision is a log line about one decision of the reducer.
 type Decision struct {
 	Part    string // one of: request, leader, job, task, worker, store, config, host
@@ -152,15 +158,16 @@
 // StopProcess ends the process: the planned stop is complete.
 type StopProcess struct{}
 
-func (Commit) isEffect()       {}
-func (ReadRows) isEffect()     {}
-func (WatchRows) isEffect()    {}
-func (SyncWorker) isEffect()   {}
-func (StartTask) isEffect()    {}
-func (StopTask) isEffect()     {}
-func (ThrottleTask) isEffect() {}
-func (AskAdvice) isEffect()    {}
-func (Answer) isEffect()       {}
-func (SetReady) isEffect()     {}
-func (Decision) isEffect()     {}
-func (StopProcess) isEffect()  {}
+func (Commit) isEffect()            {}
+func (ReadRows) isEffect()          {}
+func (WatchRows) isEffect()         {}
+func (SyncWorker) isEffect()        {}
+func (StartTask) isEffect()         {}
+func (StopTask) isEffect()          {}
+func (ThrottleTask) isEffect()      {}
+func (AskAdvice) isEffect()         {}
+func (Answer) isEffect()            {}
+func (SetReady) isEffect()          {}
+func (ReportEvacuations) isEffect() {}
+func (Decision) isEffect()          {}
+func (StopProcess) isEffect()       {}
--- a/core/scheduler/evacuation.go
+++ b/core/scheduler/evacuation.go
@@ -53,6 +53,26 @@
 	for _, l := range s.leaders {
 		l.evacuationsChanged()
 	}
+	s.reportEvacuations()
+}
+
+// reportEvacuations tells the metrics how far evacuations are, if that has changed.
+func (s *State) reportEvacuations() {
+	now := ReportEvacuations{}
+	for zone := range s.evacuations {
+		if zone != "" {
+			now.Zones++
+		}
+	}
+	for _, l := range s.leaders {
+		for _, runs := range l.runsInEvacuatedZones() {
+			now.RunsLeft += runs
+		}
+	}
+	if now != s.reportedEvacuations {
+		s.reportedEvacuations = now
+		s.emit(now)
+	}
 }
 
 // beginEvacuation records that a zone is evacuated, and reports whether it was not before.
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -249,6 +249,7 @@
 	for _, t := range []Table{TableShards, TableJobs, TableCancels, TableWorkers} {
 		s.stopWatch(watchKey{t, l.shard})
 	}
+	s.reportEvacuations()
 	s.logDecision(Decision{Part: "leader", Action: "gave up the lead", Subject: s.self.Host, Where: l.shard.String(), Reason: reason, Number: uint64(l.epoch)})
 }
 
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -116,6 +116,7 @@
 		return
 	}
 	l.logEmptyZones()
+	l.state.reportEvacuations()
 	l.loadInFlight = true
 	l.state.commit(Commit{Writes: []Write{{TableShards, loadPartition, l.shard.loadKey(), l.load()}}}, func(Committed) {
 		l.loadInFlight = false
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -28,11 +28,13 @@
 	config configState
 	// evacuations are the evacuated zones, by name.
 	evacuations map[string]*evacuation
-	requests    requestState
-	shards      shardView
-	stopping    bool
-	ready       bool
-	watches     map[watchKey]*watch
+	// reportedEvacuations is what the metrics were told last.
+	reportedEvacuations ReportEvacuations
+	requests            requestState
+	shards              shardView
+	stopping            bool
+	ready               bool
+	watches             map[watchKey]*watch
 
 	leaders []*leaderState // of the shards that this host schedules, by shard
 }
--- a/core/scheduler/zonemoves_test.go
+++ b/core/scheduler/zonemoves_test.go
@@ -61,6 +61,9 @@
 	if left, known := row.Evacuating["z0"]; !known || left != 0 {
 		t.Errorf("the load tells %v", row.Evacuating)
 	}
+	if want := (ReportEvacuations{Zones: 1}); sim.leader().state.reportedEvacuations != want {
+		t.Errorf("the metrics tell %+v", sim.leader().state.reportedEvacuations)
+	}
 	starts := 0
 	for _, f := range sim.workers {
 		starts += f.starts
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -72,6 +72,8 @@
 
 	requests *requestHandler
 	ready    atomic.Bool
+	// Of the last ReportEvacuations.
+	evacuatedZones, evacuatedRuns atomic.Int64
 	stopped  chan struct{} // closed when the planned stop is complete
 }
 
@@ -139,6 +141,8 @@
 		}
 		return 0
 	})
+	h.metrics.AddGauge("tamarackstep_evacuated_zones", func() float64 { return float64(h.evacuatedZones.Load()) })
+	h.metrics.AddGauge("tamarackstep_evacuation_runs_left", func() float64 { return float64(h.evacuatedRuns.Load()) })
 	for name, p := range h.pools {
 		label := `{runner="` + name + `"}`
 		h.metrics.AddGauge("tamarackstep_runner_waiting"+label, func() float64 { return float64(p.Depth()) })
@@ -170,6 +174,9 @@
 		h.requests.deliver(e)
 	case scheduler.SetReady:
 		h.ready.Store(e.Ready)
+	case scheduler.ReportEvacuations:
+		h.evacuatedZones.Store(int64(e.Zones))
+		h.evacuatedRuns.Store(int64(e.RunsLeft))
 	case scheduler.Decision:
 		h.metrics.RecordDecision(e.Part, e.Action)
 		logging.LogSchedulerDecision(h.log, e)
