--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -74,7 +74,7 @@
 	ready    atomic.Bool
 	// Of the last ReportEvacuations.
 	evacuatedZones, evacuatedRuns atomic.Int64
-	stopped  chan struct{} // closed when the planned stop is complete
+	stopped                       chan struct{} // closed when the planned stop is complete
 }
 
 // New returns a host that does not run yet. LogQueue is the queue behind log.
