--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -28,13 +28,15 @@
 	config configState
 	// evacuations are the evacuated zones, by name.
 	evacuations map[string]*evacuation
-	requests    requestState
-	shards      shardView
-	admission   admissionState
-	stopping    bool
-	answerBy    Instant // while stopping: all requests are answered by then
-	ready       bool
-	watches     map[watchKey]*watch
+	// reportedEvacuations is what the metrics were told last.
+	reportedEvacuations ReportEvacuations
+	requests            requestState
+	shards              shardView
+	admission           admissionState
+	stopping            bool
+	answerBy            Instant // while stopping: all requests are answered by then
+	ready               bool
+	watches             map[watchKey]*watch
 
 	leaders []*leaderState // of the shards that this host schedules, by shard
 }
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -74,7 +74,9 @@
 	explainer   *explainHandler
 	shardGauges *shardGauges
 	ready       atomic.Bool
-	stopped     chan struct{} // closed when the planned stop is complete
+	// Of the last ReportEvacuations.
+	evacuatedZones, evacuatedRuns atomic.Int64
+	stopped                       chan struct{} // closed when the planned stop is complete
 }
 
 // New returns a host that does not run yet. LogQueue is the queue behind log.
@@ -143,6 +145,8 @@
 		}
 		return 0
 	})
+	h.metrics.AddGauge("tamarackstep_evacuated_zones", func() float64 { return float64(h.evacuatedZones.Load()) })
+	h.metrics.AddGauge("tamarackstep_evacuation_runs_left", func() float64 { return float64(h.evacuatedRuns.Load()) })
 	for name, p := range h.pools {
 		label := `{runner="` + name + `"}`
 		h.metrics.AddGauge("tamarackstep_runner_waiting"+label, func() float64 { return float64(p.Depth()) })
@@ -176,6 +180,9 @@
 		h.explainer.pending.deliver(e.Request, e)
 	case scheduler.SetReady:
 		h.ready.Store(e.Ready)
+	case scheduler.ReportEvacuations:
+		h.evacuatedZones.Store(int64(e.Zones))
+		h.evacuatedRuns.Store(int64(e.RunsLeft))
 	case scheduler.Decision:
 		h.metrics.RecordDecision(e.Part, e.Action)
 		logging.LogSchedulerDecision(h.log, e)
