colocation: slow best-effort tasks down early, and keep less room for the peak of a load

It is a fifth of the way now. Instead, tasks are slowed down to 60% while a serving task still has 0.04 of utilization to spare. A paused task is moved only where a worker tolerates it, or after 3 s.

--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -12,7 +12,7 @@
 	unknownCPUShare = 0.55
 	// riseShare is the share of the way to its recorded peak that a load is expected to
 	// rise while a best-effort task runs.
-	riseShare = 0.5
+	riseShare = 0.2
 )
 
 // Load is the estimated utilization that users cause on each task of a serving step.
@@ -27,8 +27,8 @@
 // during the run of a best-effort task.
 func (o *Load) expectedPeak() float64 { return max(o.utilization, o.peak) }
 
-// expectedRise returns the utilization to expect from the task's own load at the end of a
-// best-effort task that starts now: between the present one and the peak.
+// expectedRise returns the utilization to expect from the task's own load while a
+// best-effort task that starts now runs: between the present one and the peak.
 func (o *Load) expectedRise() float64 {
 	return o.utilization + riseShare*(o.expectedPeak()-o.utilization)
 }
--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -14,6 +14,10 @@
 	// reliefMargin is utilization that is kept free once a limit has to be lowered, so that
 	// it is lowered once.
 	reliefMargin = 0.03
+	// earlyMargin is utilization that is kept free by tasks that are slowed down, to
+	// earlySpeed at most, before a serving task is about to miss its target.
+	earlyMargin = 0.04
+	earlySpeed  = 60 // percent
 	// speedStep separates speed limits, in percent.
 	speedStep = 10
 	// restartTime is how long a task that is moved waits for its next start and for its
@@ -40,17 +44,22 @@
 			out[i].SpeedLimit = speedLimit
 		}
 	}
+	w.relieve(out, margin, 0, movable)
+	w.relieve(out, margin+earlyMargin, earlySpeed, nil)
+	return out
+}
+
+// relieve lowers speed limits, not below a least one, until each serving task has a
+// margin free or no task can be slowed down for it.
+func (w *Worker) relieve(out []Relief, margin float64, least int, movable func(bestEffort int) bool) {
 	for {
-		s, over := w.mostOverloaded(out, margin)
+		s, over := w.mostOverloaded(out, margin, least)
 		if s == nil {
-			return out
-		}
-		at, ok := w.heaviest(s, out)
-		if !ok {
-			return out
+			return
 		}
+		at := w.heaviest(s, out, least)
 		b := w.BestEffort[at]
-		limit := loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed))
+		limit := max(loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed)), least)
 		if movable != nil && b.endsSoonerElsewhere(limit) && movable(at) {
 			out[at] = Relief{Move: true}
 			continue
@@ -76,12 +85,13 @@
 }
 
 // mostOverloaded returns the serving task whose utilization is furthest above its safe
-// utilization, and by how much; nil: none is above it.
-func (w *Worker) mostOverloaded(relief []Relief, margin float64) (*Serving, float64) {
+// utilization, less a margin, and by how much; nil: none is above it because of tasks that
+// can be slowed down.
+func (w *Worker) mostOverloaded(relief []Relief, margin float64, least int) (*Serving, float64) {
 	var worst *Serving
 	var most float64
 	for _, s := range w.Serving {
-		if !s.Ready {
+		if !s.Ready || w.heaviest(s, relief, least) < 0 {
 			continue
 		}
 		over := s.Load.utilization + margin - w.Model.safeUtilization(s)
@@ -97,16 +107,16 @@
 }
 
 // heaviest returns the best-effort task that causes most contention for a serving task by
-// the work that it does, among those that cause any.
-func (w *Worker) heaviest(s *Serving, relief []Relief) (int, bool) {
-	at, most := 0, 0.0
+// the work that it does, among those that cause any and are above a least limit; -1: none.
+func (w *Worker) heaviest(s *Serving, relief []Relief, least int) int {
+	at, most := -1, 0.0
 	for i, b := range w.BestEffort {
-		if w.contentionFrom(s, b, relief[i].SpeedLimit) < minContention/4 {
+		if relief[i].SpeedLimit <= least || w.contentionFrom(s, b, relief[i].SpeedLimit) < minContention/4 {
 			continue
 		}
 		if p := w.Model.PressureOn(s.Image, b.Image).Value; p > most {
 			at, most = i, p
 		}
 	}
-	return at, most > 0
+	return at
 }
--- a/core/scheduler/throttle.go
+++ b/core/scheduler/throttle.go
@@ -15,8 +15,10 @@
 	// minTimeBeforeMove is how long a best-effort task must have run before it is
 	// moved: gauges cover the last half second.
 	minTimeBeforeMove = 300 * time.Millisecond
-	// evictDelay is how long best-effort tasks are paused before they are moved.
+	// evictDelay is how long best-effort tasks are paused before they are moved to a
+	// worker that tolerates them, and maxPause until they wait for one elsewhere.
 	evictDelay = time.Second
+	maxPause   = 3 * time.Second
 	// stallTimeout is how long a run may make no progress before it is moved.
 	stallTimeout = 2500 * time.Millisecond
 )
@@ -122,10 +124,14 @@
 	l.state.emit(e)
 }
 
-// evictPausedRuns moves best-effort tasks that have been paused for evictDelay.
+// evictPausedRuns moves best-effort tasks that have been paused for too long.
 func (w *worker) evictPausedRuns() {
 	for _, b := range slices.Clone(w.bestEffort) {
-		if b.phase == phaseRunning && b.speedLimit == 0 && w.leader.state.now-b.speedLimitSetAt >= evictDelay {
+		if b.phase != phaseRunning || b.speedLimit != 0 {
+			continue
+		}
+		paused := w.leader.state.now - b.speedLimitSetAt
+		if paused >= maxPause || paused >= evictDelay && w.canMove(b) {
 			w.leader.moveRun(b, "paused next to serving tasks for too long")
 		}
 	}
