scheduler: one run tests a worker after its isolation

Change: after an isolation one run tests the worker, for 2 s at most; its failure isolates the worker again at once.

--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -75,7 +75,7 @@
 	if e := f.mismatch(w); e != notExcluded {
 		return e
 	}
-	if w.quarantined() && f.avoidsQuarantined() {
+	if (w.quarantined() || w.probed()) && f.avoidsQuarantined() {
 		return inQuarantine
 	}
 	return notExcluded
--- a/core/scheduler/quarantine.go
+++ b/core/scheduler/quarantine.go
@@ -19,6 +19,9 @@
 	// worker can run it. Such tasks may fail at any time; a faulty worker fails them
 	// before.
 	provenTime = 2 * time.Second
+	// probeTime is how long one run tests a worker after a quarantine before more runs start
+	// there. A faulty worker fails most runs before.
+	probeTime = 2 * time.Second
 	// quarantineShare is the inverse of the share of a service's workers that are
 	// quarantined at a time. One worker may always be.
 	quarantineShare = 4
@@ -47,6 +50,21 @@
 // other worker could run them.
 func (w *worker) quarantined() bool { return w.leader.state.now < w.quarantinedUntil }
 
+// probed reports whether a run tests the worker after a quarantine. Until it has ended with
+// success, or has gone on for probeTime, no other task starts there.
+func (w *worker) probed() bool {
+	if w.record.quarantines == 0 || w.quarantined() {
+		return false
+	}
+	now := w.leader.state.now
+	for _, r := range w.runs {
+		if r.startSentAt >= w.quarantinedUntil && now-r.startSentAt < probeTime {
+			return true
+		}
+	}
+	return false
+}
+
 // recordSuccess resets the failure record after a successful run.
 func (w *worker) recordSuccess() { w.record = failureRecord{} }
 
@@ -65,14 +83,19 @@
 }
 
 // recordFailure records a failed run; known is nil if this leader does not know it. A
-// worker on which several jobs fail is quarantined. Runs that fail during a quarantine were
-// started before it, and add nothing to what led to it.
+// worker on which several jobs fail is quarantined, and so is one that fails the run that
+// tests it after a quarantine. Runs that fail during a quarantine were started before it, and
+// add nothing to what led to it.
 func (w *worker) recordFailure(j *job, ref structs.TaskRef, known *run) {
 	persistent := j.Steps[ref.Step].Persistent
 	if w.quarantined() || persistent && (known == nil || known.proven) {
 		return
 	}
 	rec := &w.record
+	if rec.quarantines > 0 && known != nil && known.startSentAt >= w.quarantinedUntil {
+		w.quarantine("failed again after its isolation")
+		return
+	}
 	rec.failures = append(rec.failures, failure{j.ID, persistent})
 	ofOther := func(f failure) bool { return f.job != j.ID }
 	if len(rec.failures) >= maxFailStreak && slices.ContainsFunc(rec.failures, ofOther) {
--- a/core/scheduler/quarantine_test.go
+++ b/core/scheduler/quarantine_test.go
@@ -205,3 +205,35 @@
 	}
 	sim.waitFor(2*time.Second, "the quarantine", func() bool { return sim.leader().state.leaderOf(0).workers["w00"].quarantined() })
 }
+
+// TestFailingWorkerIsTestedByOneRun guards against a worker that fails all that it starts and
+// gets as many tasks after each isolation as it has room for.
+func TestFailingWorkerIsTestedByOneRun(t *testing.T) {
+	const failingFor = 12 * time.Second
+	sim := newSimulation(t, 1, 8)
+	sim.waitForLeader()
+	f, failed := sim.workers["w03"], 0
+	f.onStart = func(e StartTask) startOutcome {
+		key := runKey{e.Task, e.Run}
+		sim.after(100*time.Millisecond, func() {
+			if r := f.runs[key]; r != nil {
+				f.endRun(r, structs.EndFailed, "")
+				failed++
+			}
+		})
+		return startAnswered
+	}
+	inIsolation := 0
+	for i := 0; sim.now < failingFor; i++ {
+		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", 0x1000+i), singleStepJob(4, 300*time.Millisecond, 1000))
+		sim.advance(40 * time.Millisecond)
+		if inIsolation == 0 && sim.quarantinedWorkers() > 0 {
+			inIsolation = failed
+		}
+	}
+	// After that come the runs that had started before, and one after each isolation.
+	const atOnce, isolations = 8, 2
+	if after := failed - inIsolation; after > atOnce+isolations {
+		t.Errorf("%d runs failed after the first isolation, want %d at most", after, atOnce+isolations)
+	}
+}
