--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -53,8 +53,8 @@
 	return elapsed
 }
 
-// correct applies the part of a correction that is due to the load. The variance is that of the whole
-// measurement.
+// correct applies the part of a correction that is due to the load. The variance is that
+// of the whole measurement.
 func (o *Load) correct(correction, variance, elapsed float64) {
 	o.utilization = min(max(o.utilization+o.variance*correction, 0), maxUtilization)
 	o.variance -= o.variance * o.variance / variance
--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -34,9 +34,10 @@
 // Relieve protects serving tasks that are about to miss their targets: the best-effort
 // task that causes most contention by the work that it does is slowed down as far as
 // necessary. It is moved instead if there is a worker that tolerates it and it ends sooner
-// so. Relieve returns what to do with each best-effort task, none of which may exceed a
-// speed limit. The margin is kept free. movable tells whether a best-effort task can be
-// moved; nil: none can.
+// so. While a serving task has less than earlyMargin to spare, tasks are slowed down to
+// earlySpeed. Relieve returns what to do with each best-effort task, none of which may
+// exceed a speed limit. The margin is kept free. movable tells whether a best-effort task
+// can be moved; nil: none can.
 func (w *Worker) Relieve(speedLimit int, margin float64, movable func(bestEffort int) bool) []Relief {
 	out := make([]Relief, len(w.BestEffort))
 	for i, b := range w.BestEffort {
@@ -49,8 +50,8 @@
 	return out
 }
 
-// relieve lowers speed limits, not below a least one, until each serving task has a
-// margin free or no task can be slowed down for it.
+// relieve lowers speed limits, but none below a least one, until each serving task has a
+// margin free or no task can be slowed down for it any more.
 func (w *Worker) relieve(out []Relief, margin float64, least int, movable func(bestEffort int) bool) {
 	for {
 		s, over := w.mostOverloaded(out, margin, least)
