colocation: a serving image that the model does not know has the expected pressure

Change: such a pair takes its estimate from the best-effort image's other pairs. TestServingTaskOfNewImage ends with the panic before.

--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -121,8 +121,12 @@
 	return bases, pairs
 }
 
-// PressureOn returns the estimate for a best-effort image on a serving image.
+// PressureOn returns the estimate for a best-effort image on a serving image. Neither has
+// to be known.
 func (m *Model) PressureOn(serving, bestEffort ImageID) Pressure {
+	if int(serving) >= len(m.pressures) {
+		return m.expectedOf(bestEffort)
+	}
 	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unknown {
 		return row[bestEffort]
 	}
--- a/core/scheduler/interference_test.go
+++ b/core/scheduler/interference_test.go
@@ -138,3 +138,18 @@
 		}
 	}
 }
+
+// TestServingTaskOfNewImage guards against a leader that ends when a serving task of an image
+// that it has not seen is placed beside best-effort tasks.
+func TestServingTaskOfNewImage(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	bestEffort := singleStepJob(1, 10*time.Second, 1000)
+	bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "batch"
+	sim.submitAndWait(sim.hosts[0], jobA, bestEffort)
+	sim.waitFor(time.Second, "the start of the best-effort task", func() bool { return sim.runningTasks(jobA) == 1 })
+	serving := persistentJob(1, 1000)
+	serving.Steps[0].TailTarget, serving.Steps[0].Image = 100*time.Millisecond, "service"
+	sim.submitAndWait(sim.hosts[0], jobB, serving)
+	sim.waitFor(time.Second, "the start of the serving task", func() bool { return sim.runningTasks(jobB) == 1 })
+}
