preemption: room of displaced runs is kept until the urgent task takes it

Cause: room that is kept counted all earlier finite runs on the worker as about to end, also those that do not give way. Beside one more finite run the displaced run started again in its own room in the pass that saw its end, since the claim of the urgent job was not stored yet; its work was lost and the urgent task waited on. Change: where runs give way, only those that are being stopped count as ending. Result: TestRoomOfDisplacedRunIsKept fails without the change (no start of the urgent task within 1.2 s) and passes with it.

--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -35,7 +35,7 @@
 	need       structs.Resources // of one of its tasks
 	since      Instant
 	until      Instant
-	forRestart bool // it is free already; otherwise finite runs that were started before since have to end first
+	forRestart bool // it is free already; otherwise runs have to end first
 	preempted  bool // less urgent runs give way to the job there
 }
 
@@ -51,16 +51,26 @@
 		return false
 	}
 	taken := w.reserved
-	if !w.kept.forRestart {
-		for _, r := range w.runs {
-			if !r.step.Persistent && r.startSentAt < w.kept.since {
-				taken = taken.Sub(reservation(r.step))
-			}
+	for _, r := range w.runs {
+		if w.kept.waitsFor(r) {
+			taken = taken.Sub(reservation(r.step))
 		}
 	}
 	return !taken.Add(w.kept.need).Add(reservation(step)).Fits(w.entry.Capacity)
 }
 
+// waitsFor reports whether the task that room is kept for waits for the end of a run on the
+// worker: one that gives way to it, or any earlier finite one.
+func (k *keptRoom) waitsFor(r *run) bool {
+	switch {
+	case k.forRestart:
+		return false
+	case k.preempted:
+		return r.stopRequestedAt > 0
+	}
+	return !r.step.Persistent && r.startSentAt < k.since
+}
+
 // waitsAsPersistent reports whether a step is persistent and has waited for so long that
 // workers are kept free for it.
 func (j *job) waitsAsPersistent(step *structs.Step, now Instant) bool {
--- a/core/scheduler/preempt_test.go
+++ b/core/scheduler/preempt_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// TestRoomOfDisplacedRunIsKept guards against a displaced run that starts again in its own room
+// beside other runs, before the claim of the urgent job is stored.
+func TestRoomOfDisplacedRunIsKept(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.configurePriorities()
+	for _, id := range []string{jobA, jobC} {
+		sim.submitAdvised(id, singleStepJob(1, time.Minute, 4000))
+		sim.waitFor(time.Second, "the start of a long task", func() bool { return sim.runningTasks(id) == 1 })
+	}
+	sim.advance(time.Second)
+	sim.submit(sim.hosts[0], jobB, singleStepJob(1, 3*time.Second, 4000))
+	sim.waitFor(preemption.Delay+time.Second, "the start of the urgent task", func() bool { return sim.runningTasks(jobB) == 1 })
+	if starts := sim.workers["w00"].starts; starts != 3 {
+		t.Errorf("%d starts, want 3", starts)
+	}
+}
+
 // TestFailedTaskStartsFirst guards against a job that can never be done and takes room for
 // all its other tasks before that is known.
 func TestFailedTaskStartsFirst(t *testing.T) {
