--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -466,3 +466,30 @@
 	}
 	sim.waitFor(commandTimeout-time.Second, "the next start", func() bool { return sim.workerRunning(task) != nil })
 }
+
+// TestSlowStartOfGangMemberIsAwaited guards against gangs that break up because the start of a
+// member is slow: its replacement cannot join the others, which have another run number.
+func TestSlowStartOfGangMemberIsAwaited(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	starts := 0
+	for _, f := range sim.workers {
+		f.onStart = func(StartTask) startOutcome {
+			if starts++; starts == 2 {
+				return startLost // until commandTimeout it may also be slow
+			}
+			return startAnswered
+		}
+	}
+	gang := singleStepJob(2, time.Minute, 5000)
+	gang.Steps[0].Gang = true
+	sim.submitAndWait(sim.hosts[0], jobA, gang)
+	sim.waitFor(time.Second, "the starts", func() bool { return starts == 2 })
+	ordered := sim.now
+	// Ends of other runs on both workers bring their lists.
+	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(8, 400*time.Millisecond, 700))
+	sim.advance(ordered + commandTimeout - 100*time.Millisecond - sim.now)
+	if sim.logged("stop ordered") > 0 {
+		t.Error("a member of the gang is stopped while its start may be on its way")
+	}
+}
