ordering: the time in which waiting work is done does not depend on map order

Cause: the rates of the classes of work were added up in the order of a map, so that the last bits of the sum, and with them the order of jobs with almost equal urgency, could differ between two runs with the same events. Change: the classes are added in their order. Result: TestDrainTimeIsDeterministic fails without the change (two results for the same work, 1 ns apart).

--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -117,8 +118,8 @@
 func (l *leaderState) drainTime(work float64) time.Duration {
 	const milliCoresPerCore = 1000
 	rate := 0.0
-	for _, done := range l.workDone {
-		rate += done.Rate(l.state.now) / milliCoresPerCore
+	for _, class := range slices.SortedFunc(maps.Keys(l.workDone), classKey.compare) { // the sum depends on the order
+		rate += l.workDone[class].Rate(l.state.now) / milliCoresPerCore
 	}
 	if rate <= 0 {
 		return 0
