ordering: a job that is not due does not starve

Cause: one job of a priority is promoted, the one that has had no run for longest, and the time before a job's due time counted. A job with a due time far ahead held the promotion for as long, without being able to use it, and kept it from jobs that starve. Change: a job is idle at most since its first waiting occurrence has been due. Result: TestJobThatIsNotDueDoesNotStarve fails without the change.

--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -100,11 +100,10 @@
 	longest := make(map[int]*rankedJob)
 	for i := range ranked {
 		r := &ranked[i]
-		idle := r.job.idle(now)
-		if r.job.activeRuns > 0 || !ordering.Starves(r.described, idle) {
+		if r.job.activeRuns > 0 || !ordering.Starves(r.described, r.idle(now)) {
 			continue
 		}
-		if other := longest[r.described.Priority]; other == nil || idle > other.job.idle(now) {
+		if other := longest[r.described.Priority]; other == nil || r.idle(now) > other.idle(now) {
 			longest[r.described.Priority] = r
 		}
 	}
@@ -127,6 +126,9 @@
 	return min(time.Duration(work/rate*float64(time.Second)), maxObjective)
 }
 
+// idle returns how long a job without runs has had none although it was due.
+func (r *rankedJob) idle(now Instant) time.Duration { return min(r.job.idle(now), r.described.Age) }
+
 // idle returns how long a job without runs has had none.
 func (j *job) idle(now Instant) time.Duration { return now - max(j.submittedAt, j.lastRunEndedAt) }
 
