evacuation: a step without room outside does not hold up the others

Cause: after a search for room that found none, no search was made for half a second, for any step. The next one began with the same run or worker again, so that tasks of other steps with room outside stayed in the zone for good. Change: the pause is that of the step, and the search goes on with the other runs of the worker. Result: TestStepWithoutRoomHoldsUpNoOther fails without the change (no task of the other step has left after 20 s).

--- a/core/scheduler/zonemoves.go
+++ b/core/scheduler/zonemoves.go
@@ -19,7 +19,7 @@
 	// zoneMoveTimeout is the age from which a move no longer counts: the task waits for room
 	// or does not come to work, and other tasks should not wait for it.
 	zoneMoveTimeout = 5 * time.Second
-	// zoneMoveRetry is the pause after a search for room that found none.
+	// zoneMoveRetry is the pause after a search for room that found none for a step.
 	zoneMoveRetry = 500 * time.Millisecond
 	// zoneMoveReserve is the inverse of the share of a worker's processors that a task that
 	// moves there leaves free, for finite tasks.
@@ -29,7 +29,7 @@
 // zoneMoves holds the moves out of evacuated zones.
 type zoneMoves struct {
 	pending []zoneMove
-	retryAt Instant // no search for room before
+	retryAt map[stepKey]Instant // no search for room for a step before
 	// empty are the evacuated zones in which none of the shard's workers has runs.
 	empty map[string]bool
 }
@@ -55,17 +55,21 @@
 	}
 	now := l.state.now
 	l.zoneMoves.pending = slices.DeleteFunc(l.zoneMoves.pending, func(m zoneMove) bool { return m.done(now) })
+	maps.DeleteFunc(l.zoneMoves.retryAt, func(_ stepKey, at Instant) bool { return now >= at })
 	for _, r := range w.sortedRuns() {
-		if len(l.zoneMoves.pending) >= maxZoneMoves || now < l.zoneMoves.retryAt {
+		if len(l.zoneMoves.pending) >= maxZoneMoves {
 			return
 		}
 		if r.phase != phaseRunning || r.stopRequestedAt > 0 || !r.step.Persistent || r.step.Gang || !r.job.mayInterrupt(r.ref) {
 			continue
 		}
+		if _, waits := l.zoneMoves.retryAt[stepKeyOf(r.ref)]; waits {
+			continue
+		}
 		target := l.roomOutside(r)
 		if target == nil {
-			l.zoneMoves.retryAt = now + zoneMoveRetry
-			return
+			l.zoneMoves.pause(stepKeyOf(r.ref), now)
+			continue
 		}
 		target.keepRoom(keptRoom{job: r.job, need: reservation(r.step), forRestart: true}, l.state.bounds.StopTimeout+restartHoldTime)
 		l.zoneMoves.pending = append(l.zoneMoves.pending, zoneMove{r, now})
@@ -73,6 +77,14 @@
 	}
 }
 
+// pause records that a search found no room for a step.
+func (m *zoneMoves) pause(step stepKey, now Instant) {
+	if m.retryAt == nil {
+		m.retryAt = make(map[stepKey]Instant)
+	}
+	m.retryAt[step] = now + zoneMoveRetry
+}
+
 // mayInterrupt reports whether a task of a persistent step may be kept from working: with it,
 // no more of the step are away than may be, or one where the step states no limit. Tasks that
 // other shards schedule count as away, since their state is not known here.
--- a/core/scheduler/zonemoves_test.go
+++ b/core/scheduler/zonemoves_test.go
@@ -100,6 +100,29 @@
 	}
 }
 
+// TestStepWithoutRoomHoldsUpNoOther guards against tasks that stay in an evacuated zone with room
+// outside, because those of another step there find none.
+func TestStepWithoutRoomHoldsUpNoOther(t *testing.T) {
+	sim := newBoundedSimulation(t, 1, 4, 0, leavingBounds())
+	sim.workers["w00"].labels = []string{"only"}
+	sim.workers["w00"].writeEntry(false)
+	sim.waitForLeader()
+	stays := persistentJob(2, 1000)
+	stays.Steps[0].Label = "only"
+	sim.submitAndWait(sim.hosts[0], jobA, stays)
+	sim.submitAndWait(sim.hosts[0], jobB, persistentJob(8, 1000))
+	sim.waitFor(3*time.Second, "the runs", func() bool { return sim.runningTasks(jobA) == 2 && sim.runningTasks(jobB) == 8 })
+	sim.advance(3 * time.Second)
+	if sim.runsIn("z0", jobB) == 0 {
+		t.Fatal("no runs in the zone")
+	}
+	sim.evacuate("z0", true)
+	sim.waitFor(20*time.Second, "the moves", func() bool { return sim.runsIn("z0", jobB) == 0 })
+	if sim.runsIn("z0", jobA) != 2 {
+		t.Error("a task without room outside was stopped")
+	}
+}
+
 // TestColdWorkersTakeLess guards against workers that are slow after their start and get as
 // many tasks as the others.
 func TestColdWorkersTakeLess(t *testing.T) {
