scheduler: late starts are refused after each restart of their worker

Cause: the starts without an answer were forgotten once the next incarnation of their worker had been told to refuse them. The one after it carried them out, although the tasks ran elsewhere. Change: they are remembered for the whole time in which they may be carried out. A start that is given up and has no answer later is remembered once. Result: TestLateStartIsRefusedAfterTwoRestarts fails without the change (the second incarnation is not told).

--- a/core/scheduler/latestarts.go
+++ b/core/scheduler/latestarts.go
@@ -24,23 +24,29 @@
 // rememberLateStart records a start without an answer. A stop that the worker has
 // acknowledged keeps this incarnation from carrying it out, but not the next one.
 func (w *worker) rememberLateStart(r *run) {
+	w.forgetLateStarts()
+	start := lateStart{r.key(), r.startSentAt}
+	if len(w.lateStarts) < maxLateStarts && !slices.Contains(w.lateStarts, start) {
+		w.lateStarts = append(w.lateStarts, start)
+	}
+}
+
+// forgetLateStarts forgets the starts that are not carried out any more.
+func (w *worker) forgetLateStarts() {
 	now := w.leader.state.now
 	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(s lateStart) bool { return now-s.sentAt > lateStartWindow })
-	if len(w.lateStarts) < maxLateStarts {
-		w.lateStarts = append(w.lateStarts, lateStart{r.key(), r.startSentAt})
-	}
 }
 
 // refuseLateStarts has the next incarnation of a worker refuse the starts that were meant
-// for the former one: a worker refuses a run that was stopped before it began. The runs
+// for former ones: a worker refuses a run that was stopped before it began. The runs
 // that the leader keeps there are settled by the lists.
 func (w *worker) refuseLateStarts() {
+	w.forgetLateStarts()
 	for _, s := range w.lateStarts {
-		if w.runs[s.key] == nil && w.leader.state.now-s.sentAt <= lateStartWindow {
+		if w.runs[s.key] == nil {
 			w.refuseLateStart(s)
 		}
 	}
-	w.lateStarts = nil
 }
 
 func (w *worker) refuseLateStart(s lateStart) {
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -349,6 +349,32 @@
 	}
 }
 
+// TestLateStartIsRefusedAfterTwoRestarts guards against the same when the worker has started
+// again twice: only the first of its next incarnations knew of the stop.
+func TestLateStartIsRefusedAfterTwoRestarts(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	l.workers["w01"].pauseStarts(time.Second)
+	f := sim.workers["w00"]
+	var late StartTask
+	f.onStart = func(e StartTask) startOutcome {
+		late = e
+		l.workers["w00"].pauseStarts(10 * time.Second)
+		return startLost
+	}
+	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
+	sim.waitFor(6*time.Second, "the start elsewhere", func() bool { return sim.workers["w01"].starts == 1 })
+	f.onStart = nil
+	for range 2 {
+		f.restartAccepting()
+		sim.waitFor(4*time.Second, "the stop at the next incarnation", func() bool { return f.highestRun[late.Task] >= late.Run })
+	}
+	if o := f.executeStart(late); o.Refused != RefusedRun {
+		t.Errorf("the late start is answered with %v", o.Refused)
+	}
+}
+
 // TestFormerLeadersRunsAcrossRestart guards against a task that a new leader starts although the
 // next incarnation of a worker may run it: the former leader's start reached that one, and its
 // lists are not read yet.
