colocation: targets below a millisecond are not rounded to zero

Cause: the target of a serving task was rounded down to whole milliseconds. The ratio of a reading of 0 to a target of 0 is not a number, and the worst ratio of the worker neither, so that its best-effort tasks were not throttled for any serving task. Change: the target keeps its fraction. Result: TestShortTailTarget fails without the change (the worst ratio is NaN).

--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -52,7 +52,7 @@
 	r.image = w.leader.interference.ImageIDOf(r.step.Image)
 	switch {
 	case r.step.TailTarget > 0:
-		r.serving = &colocation.Serving{Image: r.image, TargetMS: float64(r.step.TailTarget.Milliseconds()), Load: r.job.stepLoad(r.ref)}
+		r.serving = &colocation.Serving{Image: r.image, TargetMS: r.step.TailTarget.Seconds() * 1000, Load: r.job.stepLoad(r.ref)}
 		w.colocated.AddServing(r.serving)
 	case r.step.BestEffort:
 		r.filling = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
--- a/core/scheduler/interference_test.go
+++ b/core/scheduler/interference_test.go
@@ -138,3 +138,18 @@
 		}
 	}
 }
+
+// TestShortTailTarget guards against a worst tail latency that is not a number, with which the
+// other serving tasks of the worker are not protected either.
+func TestShortTailTarget(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	job := persistentJob(1, 1000)
+	job.Steps[0].TailTarget = 500 * time.Microsecond
+	sim.submitAndWait(sim.hosts[0], jobA, job)
+	sim.waitFor(time.Second, "the run", func() bool { return sim.runningTasks(jobA) == 1 })
+	sim.advance(time.Second)
+	if worst := sim.leader().state.leaderOf(0).workers["w00"].colocated.WorstTailRatio(); worst != 0 {
+		t.Errorf("the worst ratio is %v before a reading, want 0", worst)
+	}
+}
