explain: the place in the order counts slack on the scale of the waiting jobs

Jobs that would come after it were counted as before it. Change: the order keeps the scale of its last pass, and the explanation uses it. Result: TestExplainedPlaceInOrder fails without the change (1 of 1 jobs explained to come first, none does).

--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -228,7 +228,7 @@
 func (l *leaderState) placeInOrder(j *job) (before, waiting int) {
 	now := l.state.now
 	l.waitingJobs(now)
-	rank := ordering.RankOf(l.describeForOrder(j, now), l.order.usualChain())
+	rank := ordering.RankOf(l.describeForOrder(j, now), l.order.lookahead)
 	for _, o := range l.order.ranked {
 		if cmp.Or(o.rank.Compare(rank), strings.Compare(string(o.job.ID), string(j.ID))) < 0 {
 			before++
--- a/core/scheduler/explain_test.go
+++ b/core/scheduler/explain_test.go
@@ -223,3 +223,22 @@
 		}
 	}
 }
+
+// TestExplainedPlaceInOrder guards against a place in the order that the job would not get, since
+// its slack counts on another scale than that of the jobs that wait.
+func TestExplainedPlaceInOrder(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.submitAndWait(sim.leader(), jobA, persistentJob(1, 8000))
+	sim.waitFor(time.Second, "the run", func() bool { return sim.runningTasks(jobA) == 1 })
+	sim.submitAndWait(sim.leader(), jobB, singleStepJob(4, 3*time.Second, 1000))
+	sim.advance(3 * time.Second)
+	small := singleStepJob(1, 3*time.Second, 1000)
+	p := sim.explain(sim.leader(), "/q/"+jobC, small).Explanation.Shards[0].Placement
+	sim.submitAndWait(sim.leader(), jobC, small)
+	sim.advance(100 * time.Millisecond)
+	first := sim.leader().state.leaderOf(0).waitingJobs(sim.leader().state.now)[0]
+	if p.JobsWaiting != 1 || p.JobsBefore != 0 || first.ID != jobC {
+		t.Errorf("%d of %d jobs are explained to come first, and %s does", p.JobsBefore, p.JobsWaiting, first.ID)
+	}
+}
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -12,10 +12,11 @@
 
 // jobOrder holds what the order of waiting jobs depends on besides the jobs.
 type jobOrder struct {
-	works  map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
-	chains ordering.Mean             // longest chains of the admitted finite jobs, in seconds
-	ranked []rankedJob               // reused by waitingJobs
-	ends   []time.Duration           // reused by longestChain
+	works     map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
+	chains    ordering.Mean             // longest chains of the admitted finite jobs, in seconds
+	ranked    []rankedJob               // by the last waitingJobs, which reuses it
+	lookahead time.Duration             // of their ranks
+	ends      []time.Duration           // reused by longestChain
 }
 
 // rankedJob is a waiting job with its rank in one pass.
@@ -66,9 +67,9 @@
 			work += ranked[i].described.Work
 		}
 	}
-	lookahead := ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
+	l.order.lookahead = ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
 	for i := range ranked {
-		ranked[i].rank = ordering.RankOf(ranked[i].described, lookahead)
+		ranked[i].rank = ordering.RankOf(ranked[i].described, l.order.lookahead)
 	}
 	promoteStarving(ranked, now)
 	slices.SortFunc(ranked, func(a, b rankedJob) int {
