--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,10 +12,11 @@
 
 // jobOrder holds what the order of waiting jobs depends on besides the jobs.
 type jobOrder struct {
-	works  map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
-	chains ordering.Mean             // longest chains of the admitted finite jobs, in seconds
-	ranked []rankedJob               // reused by waitingJobs
-	ends   []time.Duration           // reused by longestChain
+	works     map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
+	chains    ordering.Mean             // longest chains of the admitted finite jobs, in seconds
+	ranked    []rankedJob               // by the last waitingJobs, which reuses it
+	lookahead time.Duration             // of their ranks
+	ends      []time.Duration           // reused by longestChain
 }
 
 // rankedJob is a waiting job with its rank in one pass.
@@ -65,9 +67,9 @@
 			work += ranked[i].described.Work
 		}
 	}
-	lookahead := ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
+	l.order.lookahead = ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
 	for i := range ranked {
-		ranked[i].rank = ordering.RankOf(ranked[i].described, lookahead)
+		ranked[i].rank = ordering.RankOf(ranked[i].described, l.order.lookahead)
 	}
 	promoteStarving(ranked, now)
 	slices.SortFunc(ranked, func(a, b rankedJob) int {
@@ -99,11 +101,10 @@
 	longest := make(map[int]*rankedJob)
 	for i := range ranked {
 		r := &ranked[i]
-		idle := r.job.idle(now)
-		if r.job.activeRuns > 0 || !ordering.Starves(r.described, idle) {
+		if r.job.activeRuns > 0 || !ordering.Starves(r.described, r.idle(now)) {
 			continue
 		}
-		if other := longest[r.described.Priority]; other == nil || idle > other.job.idle(now) {
+		if other := longest[r.described.Priority]; other == nil || r.idle(now) > other.idle(now) {
 			longest[r.described.Priority] = r
 		}
 	}
@@ -117,8 +118,8 @@
 func (l *leaderState) drainTime(work float64) time.Duration {
 	const milliCoresPerCore = 1000
 	rate := 0.0
-	for _, done := range l.workDone {
-		rate += done.Rate(l.state.now) / milliCoresPerCore
+	for _, class := range slices.SortedFunc(maps.Keys(l.workDone), classKey.compare) { // the sum depends on the order
+		rate += l.workDone[class].Rate(l.state.now) / milliCoresPerCore
 	}
 	if rate <= 0 {
 		return 0
@@ -126,6 +127,9 @@
 	return min(time.Duration(work/rate*float64(time.Second)), maxObjective)
 }
 
+// idle returns how long a job without runs has had none although it was due.
+func (r *rankedJob) idle(now Instant) time.Duration { return min(r.job.idle(now), r.described.Age) }
+
 // idle returns how long a job without runs has had none.
 func (j *job) idle(now Instant) time.Duration { return now - max(j.submittedAt, j.lastRunEndedAt) }
 
