preemption: the tasks of a step wait before others give way to them

Cause: the time that a task has to wait before less urgent runs give way counted from when any task of its job began to wait. Tasks of a later step, and of an occurrence with a due time, wait from the start; they displaced runs at once when their turn came, although most tasks that find no room at first find some soon. Change: the time counts from the last end of a run of the job, and from when the occurrence is due.

--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -19,11 +19,12 @@
 // that no worker has room for, and keeps that room for it.
 func (l *leaderState) preemptFor(j *job, ref structs.TaskRef, f *stepFilter) {
 	now := l.state.now
+	waited := l.waitedForRoom(j, ref.Occurrence)
 	switch {
 	case f.step.BestEffort || now < j.preemptionRetryAt || now < j.roomKeptUntil:
 		return
-	case now-j.waitingSince < preemption.Delay:
-		l.schedule.requestPassAt(j.waitingSince + preemption.Delay)
+	case waited < preemption.Delay:
+		l.schedule.requestPassAt(now + preemption.Delay - waited)
 		return
 	case j.displacedAt > 0 && now-j.displacedAt < preemption.Cooldown:
 		return
@@ -47,10 +48,20 @@
 	}
 	w.keepRoom(keptRoom{job: j, need: task.Need, preempted: true}, holdTime)
 	l.state.logDecision(Decision{
-		Part: "job", Action: "displaces less urgent work", Subject: taskName(ref), Where: string(w.id), Number: uint64(len(plan.Runs)), Age: now - j.waitingSince,
+		Part: "job", Action: "displaces less urgent work", Subject: taskName(ref), Where: string(w.id), Number: uint64(len(plan.Runs)), Age: waited,
 	})
 }
 
+// waitedForRoom returns how long tasks of an occurrence have certainly waited for room alone: it
+// is due, and no run of the job has ended since, which may have made their step ready.
+func (l *leaderState) waitedForRoom(j *job, occurrence int) time.Duration {
+	waited := l.state.now - max(j.waitingSince, j.lastRunEndedAt)
+	if j.Repeat != nil {
+		waited = min(waited, time.Duration(-l.untilDueMS(j, occurrence))*time.Millisecond)
+	}
+	return waited
+}
+
 // preemptionOffers returns the workers that could run a task of a step if less urgent runs
 // gave way, and these runs.
 func (l *leaderState) preemptionOffers(f *stepFilter) ([]preemption.Offer, []*run) {
--- a/core/scheduler/preempt_test.go
+++ b/core/scheduler/preempt_test.go
@@ -61,6 +61,26 @@
 	}
 }
 
+// TestLaterStepWaitsBeforeItDisplaces guards against runs that give way at once to the tasks of a
+// step that has just become ready, because other tasks of its job have waited for longer.
+func TestLaterStepWaitsBeforeItDisplaces(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.configurePriorities()
+	long := singleStepJob(1, time.Minute, 4000)
+	long.Steps[0].SavesProgress = true
+	sim.submitAdvised(jobA, long)
+	sim.waitFor(time.Second, "the start of the long task", func() bool { return sim.runningTasks(jobA) == 1 })
+	job := singleStepJob(1, 3*time.Second, 4000)
+	job.Steps = append(job.Steps, job.Steps[0])
+	job.Steps[1].Count, job.Steps[1].After = 2, []int{0}
+	sim.submit(sim.hosts[0], jobB, job)
+	sim.waitFor(5*time.Second, "the second step", func() bool { return sim.workerRunning(structs.TaskRef{Job: jobB, Step: 1}) != nil })
+	waited := sim.waitFor(preemption.Delay+time.Second, "the displacement", func() bool { return sim.logged("gives way") > 0 })
+	if waited < preemption.Delay-20*time.Millisecond {
+		t.Errorf("a run gives way %v after the step has become ready, want %v at least", waited, preemption.Delay)
+	}
+}
+
 // TestFailedTaskStartsFirst guards against a job that can never be done and takes room for
 // all its other tasks before that is known.
 func TestFailedTaskStartsFirst(t *testing.T) {
