scheduler: a start that is given up may still be on its way to an address

Cause: when another worker answers at the address of a worker, the runs there are given up unless a start is on its way to that address. Since the start of a run that is being stopped may be on its way as well; it reached its worker, which had returned, while the task ran elsewhere. Change: a run knows whether its start has an outcome. Result: TestGivenUpStartToAddressOfOtherWorker fails without the change (the task runs on two workers).

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -100,7 +100,7 @@
 // sent to that one; a start on its way may meet it at this one later. It reports whether the
 // worker is gone.
 func (w *worker) handleMisdirected(address string) bool {
-	elsewhere := func(r *run) bool { return r.address != address || r.phase == phaseStarting }
+	elsewhere := func(r *run) bool { return r.address != address || r.startInFlight && r.confirmedAt == 0 }
 	if address != w.entry.Address || slices.ContainsFunc(w.sortedRuns(), elsewhere) {
 		return false
 	}
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -34,6 +34,7 @@
 
 	phase           phase
 	startSentAt     Instant
+	startInFlight   bool    // the start has no outcome yet
 	startCounted    bool    // the start counts as outstanding in the leader's start window
 	confirmedAt     Instant // when the worker confirmed the start; 0: not confirmed
 	stopRequestedAt Instant // 0: no stop requested
@@ -106,6 +107,7 @@
 	w.addRun(r)
 	l.starts.sent(r, l.state.now)
 	l.starts.inFlight++
+	r.startInFlight = true
 	leaseEnd := w.newLeaseEnd(l.state.now, l.state.bounds)
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
@@ -138,6 +140,7 @@
 func (l *leaderState) startAnswered(r *run, o CommandDone, address string) {
 	w := r.worker
 	l.starts.inFlight--
+	r.startInFlight = false
 	if l.canRelease() {
 		l.flush()
 	}
