--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -54,9 +54,10 @@
 	maxPressure  = 4.0
 	// minVariance keeps an estimate open to change: pressures change within seconds.
 	minVariance = 0.004
-	// utilizationStdErr is the standard error of a utilization derived from a
-	// measured tail latency, and tailStdErrMS that of rounding to milliseconds.
-	utilizationStdErr = 0.03
+	// utilizationStdErr is the standard error of a utilization derived from a measured
+	// tail latency, and tailStdErrMS that of rounding to milliseconds. Readings overlap:
+	// each covers the last half second, and a worker with many ends is read more often.
+	utilizationStdErr = 0.04
 	tailStdErrMS      = 0.3
 	// maxUtilization bounds a measured utilization: the tail latency of an overloaded
 	// task carries little information.
