--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -16,7 +16,7 @@
 	reliefMargin = 0.03
 	// earlyMargin is utilization that is kept free by tasks that are slowed down, to
 	// earlySpeed at most, before a serving task is about to miss its target.
-	earlyMargin = 0.03
+	earlyMargin = 0.04
 	earlySpeed  = 60 // percent
 	// speedStep separates speed limits, in percent.
 	speedStep = 10
