--- a/cli/internal/trace/causes.go
+++ b/cli/internal/trace/causes.go
@@ -83,7 +83,7 @@
 	{section: sectionLate, step: "3", finding: nextRunLate, cause: "the next run of a task came late: the shard had no leader, or no worker had enough free capacity"},
 	{section: sectionLate, step: "3", part: "worker", action: "isolated", context: true, cause: "a worker was isolated, since runs of several jobs failed there"},
 	{section: sectionLate, step: "3", part: "worker", action: "drains", context: true, cause: "a worker was taken out of service"},
-	{section: sectionLate, step: "3", part: "leader", action: "starts pause", context: true, cause: "starts paused, since the leader's picture of a table was old"},
+	{section: sectionLate, step: "3", part: "leader", action: "starts pause", context: true, cause: "starts paused, since the leader's view of a table was old"},
 	{section: sectionLate, step: "4", part: "task", action: "start refused", cause: "a worker refused a start"},
 	{section: sectionLate, step: "4", part: "task", action: "start without an answer", cause: "a worker did not answer an order to start, which may have taken effect"},
 	{section: sectionLate, step: "4", part: "task", action: "end listed: failed", cause: "a run failed on its worker"},
--- a/core/scheduler/evacuation_test.go
+++ b/core/scheduler/evacuation_test.go
@@ -115,10 +115,10 @@
 	}
 }
 
-// TestStartsPauseOnOldPictures guards against starts on workers that drain, or whose zone is
+// TestStartsPauseOnOldViews guards against starts on workers that drain, or whose zone is
 // evacuated, when the host does not hear of it for long: the oracle checks their times. It
 // guards too against starts that never go on.
-func TestStartsPauseOnOldPictures(t *testing.T) {
+func TestStartsPauseOnOldViews(t *testing.T) {
 	for _, table := range []Table{TableWorkers, TableOperator} {
 		t.Run(table.String(), func(t *testing.T) {
 			sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -188,7 +188,7 @@
 func (l *leaderState) explainPlacement(j *job) *PlacementExplanation {
 	s := l.state
 	p := &PlacementExplanation{
-		Blocked: l.startsBlocked(j), WorkersAgeMS: s.pictureAgeMS(watchKey{TableWorkers, l.shard}), OperatorAgeMS: s.pictureAgeMS(operatorWatch),
+		Blocked: l.startsBlocked(j), WorkersAgeMS: s.viewAgeMS(watchKey{TableWorkers, l.shard}), OperatorAgeMS: s.viewAgeMS(operatorWatch),
 	}
 	if !l.isLoaded() {
 		return p
@@ -302,13 +302,13 @@
 	return int(n)
 }
 
-// pictureAgeMS returns how old the picture of a watch is, or -1.
-func (s *State) pictureAgeMS(key watchKey) int64 {
-	p := s.pictureOf(key)
-	if !p.complete {
+// viewAgeMS returns how old the view of a watch is, or -1.
+func (s *State) viewAgeMS(key watchKey) int64 {
+	view := s.viewOf(key)
+	if !view.complete {
 		return -1
 	}
-	return (s.now - p.asOf).Milliseconds()
+	return (s.now - view.asOf).Milliseconds()
 }
 
 // starts reports whether a task of the job starts now, as far as the leader can tell.
--- a/core/scheduler/leader.go
+++ b/core/scheduler/leader.go
@@ -53,7 +53,7 @@
 	loadedGroups   map[structs.JobID]map[string]ProgressGroupRow // further rows of it, by key
 
 	commits            commitState
-	startsPaused       bool // because a picture is too old
+	startsPaused       bool // because a view is too old
 	zoneMoves          zoneMoves
 	interference       *colocation.Model
 	workDone           map[classKey]*admission.Meter // rates of work, by class
--- a/core/scheduler/startlimit.go
+++ b/core/scheduler/startlimit.go
@@ -8,9 +8,9 @@
 	// minStartTime is the least time that a start needs until it has an answer. A start
 	// with less would often be given up, and its outcome would not be known.
 	minStartTime = 150 * time.Millisecond
-	// pictureRefreshes is how often a picture is refreshed within the time for which starts
+	// viewRefreshes is how often a view is refreshed within the time for which starts
 	// may be decided on it: one watch may fail.
-	pictureRefreshes = 4
+	viewRefreshes = 4
 )
 
 // operatorWatch is the host's watch of the operator's table.
@@ -18,36 +18,36 @@
 
 // A worker that drains, or whose zone is evacuated, may get starts for a limited time after
 // the store has accepted the row that says so. The leader does not see the row at once. So a
-// start is sent only while the pictures on which it was decided are younger than that time:
+// start is sent only while the views on which it was decided are younger than that time:
 // any row that they lack was accepted later.
 
 // startsUntil returns the time until which starts may be sent, and what limits it.
 func (l *leaderState) startsUntil() (until Instant, limit string) {
 	s := l.state
 	until, limit = l.leaseValidUntil, "the lease"
-	operator := s.pictureOf(operatorWatch)
+	operator := s.viewOf(operatorWatch)
 	if !operator.complete {
 		return 0, "the operator's table has not been read"
 	}
 	if t := s.bounds.EvacuationTime; t > 0 && operator.asOf+t-startTransit < until {
-		until, limit = operator.asOf+t-startTransit, "the picture of the operator's table is old"
+		until, limit = operator.asOf+t-startTransit, "the view of the operator's table is old"
 	}
-	workers := s.pictureOf(watchKey{TableWorkers, l.shard})
+	workers := s.viewOf(watchKey{TableWorkers, l.shard})
 	if t := s.bounds.DrainTime; t > 0 && workers.asOf+t-startTransit < until {
-		until, limit = workers.asOf+t-startTransit, "the picture of the list of workers is old"
+		until, limit = workers.asOf+t-startTransit, "the view of the list of workers is old"
 	}
 	return until, limit
 }
 
-// pictureOf returns the picture that a watch has of its table.
-func (s *State) pictureOf(key watchKey) picture {
+// viewOf returns the view that a watch has of its table.
+func (s *State) viewOf(key watchKey) tableView {
 	if w := s.watches[key]; w != nil {
-		return w.picture
+		return w.view
 	}
-	return picture{}
+	return tableView{}
 }
 
-// updateStartPause reports whether starts pause because a picture is too old. The event that
+// updateStartPause reports whether starts pause because a view is too old. The event that
 // refreshes it runs the pass that waits.
 func (l *leaderState) updateStartPause() bool {
 	until, limit := l.startsUntil()
@@ -64,7 +64,7 @@
 }
 
 // waitTime returns how long the watch waits for a change. Starts depend on how old the
-// pictures of two tables are, so that their watches do not wait for long where nothing changes,
+// views of two tables are, so that their watches do not wait for long where nothing changes,
 // and not at all after one without an answer.
 func (w *watch) waitTime(b Bounds) time.Duration {
 	limit := time.Duration(0)
@@ -80,5 +80,5 @@
 	if w.unanswered {
 		return 0
 	}
-	return min(watchWait, limit/pictureRefreshes)
+	return min(watchWait, limit/viewRefreshes)
 }
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -130,12 +130,12 @@
 	loadSentAt        Instant         // when the first page of the read that goes on was sent
 	failures          int             // watches in a row without an answer while the store answered other calls
 	unanswered        bool            // the last watch had no answer
-	picture           picture
+	view              tableView
 }
 
-// picture tells from when what a watch has seen of its table is: each row that the store
+// tableView tells how recent what a watch has seen of its table is: each row that the store
 // accepted before asOf has been applied.
-type picture struct {
+type tableView struct {
 	complete bool // the whole table has been read
 	asOf     Instant
 }
@@ -205,7 +205,7 @@
 func (w *watch) loadDone(s *State) {
 	rows := w.snapshot
 	w.snapshot, w.afterVersion = nil, w.oldestPage
-	w.picture = picture{complete: true, asOf: w.loadSentAt}
+	w.view = tableView{complete: true, asOf: w.loadSentAt}
 	w.onRows(rows, true)
 	if loaded := w.onLoaded; loaded != nil {
 		w.onLoaded = nil
@@ -245,7 +245,7 @@
 		w.afterVersion = max(w.afterVersion, r.Version)
 		more := r.moreChanges()
 		if !more {
-			w.picture.asOf = sentAt
+			w.view.asOf = sentAt
 		}
 		if len(r.Rows) > 0 {
 			w.onRows(r.Rows, false)
