--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -243,7 +243,7 @@
 	step := f.step
 	x := StepExplanation{Step: stepIndex, Tasks: step.Count, Gang: step.Gang, Excluded: []ExclusionCount{}}
 	image := l.imageOf(step)
-	var counts [exclusions]int
+	var counts [exclusionCount]int
 	members := 0 // of the gang that find room
 	for _, id := range l.workerIDs {
 		w := l.workers[id]
@@ -252,7 +252,7 @@
 		if excluded == notExcluded {
 			var tolerated bool
 			if score, tolerated = l.score(w, j, step, image); !tolerated {
-				excluded = intolerant
+				excluded = excludedDisturbance
 			}
 		}
 		counts[excluded]++
@@ -270,7 +270,7 @@
 	x.Accepting = counts[notExcluded]
 	x.GangFits = step.Gang && members >= step.Count
 	for e, n := range counts {
-		if exclusion(e) == ofOtherService {
+		if exclusion(e) == excludedOtherService {
 			continue
 		}
 		x.Workers += n
@@ -339,8 +339,8 @@
 		return "no worker of the service"
 	case x.Accepting > 0:
 		return "the gang finds no room at once"
-	case x.excludedBy(withoutAdvice) > 0:
-		return fmt.Sprintf("the advice service is asked first; %d workers have room", x.excludedBy(withoutAdvice))
+	case x.excludedBy(excludedNoAdvice) > 0:
+		return fmt.Sprintf("the advice service is asked first; %d workers have room", x.excludedBy(excludedNoAdvice))
 	}
 	return fmt.Sprintf("no worker takes a task of step %d; most often a worker %s", x.Step, x.Excluded[0].Reason)
 }
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -51,32 +51,32 @@
 }
 
 // matches reports whether a worker accepts starts and has what the step requires.
-func (f *stepFilter) matches(w *worker) bool { return f.mismatch(w) == notExcluded }
+func (f *stepFilter) matches(w *worker) bool { return f.requirementExclusion(w) == notExcluded }
 
-// mismatch returns why a worker does not accept starts or lacks what the step requires.
-func (f *stepFilter) mismatch(w *worker) exclusion {
+// requirementExclusion returns why a worker does not accept starts or lacks what the step requires.
+func (f *stepFilter) requirementExclusion(w *worker) exclusion {
 	if w.entry.Service != f.policy.Service {
-		return ofOtherService
+		return excludedOtherService
 	}
 	if e := w.startExclusion(); e != notExcluded {
 		return e
 	}
 	if !w.hasLabel(f.step.Label) {
-		return withoutLabel
+		return excludedMissingLabel
 	}
 	return notExcluded
 }
 
 // suits reports whether a task may be started on a worker when it has room.
-func (f *stepFilter) suits(w *worker) bool { return f.unsuitable(w) == notExcluded }
+func (f *stepFilter) suits(w *worker) bool { return f.suitabilityExclusion(w) == notExcluded }
 
-// unsuitable returns why a task may not be started on a worker even if it has room.
-func (f *stepFilter) unsuitable(w *worker) exclusion {
-	if e := f.mismatch(w); e != notExcluded {
+// suitabilityExclusion returns why a task may not be started on a worker even if it has room.
+func (f *stepFilter) suitabilityExclusion(w *worker) exclusion {
+	if e := f.requirementExclusion(w); e != notExcluded {
 		return e
 	}
 	if w.quarantined() && f.avoidsQuarantined() {
-		return inQuarantine
+		return excludedQuarantine
 	}
 	return notExcluded
 }
@@ -94,33 +94,33 @@
 
 // accepts reports whether a task may be started on a worker now, as far as its room is
 // concerned.
-func (f *stepFilter) accepts(w *worker) bool { return f.withoutRoom(w) == notExcluded }
+func (f *stepFilter) accepts(w *worker) bool { return f.roomExclusion(w) == notExcluded }
 
-// withoutRoom returns why a worker is not suitable or has no room for a task now.
-func (f *stepFilter) withoutRoom(w *worker) exclusion {
-	if e := f.unsuitable(w); e != notExcluded {
+// roomExclusion returns why a worker is not suitable or has no room for a task now.
+func (f *stepFilter) roomExclusion(w *worker) exclusion {
+	if e := f.suitabilityExclusion(w); e != notExcluded {
 		return e
 	}
 	if !f.hasRoom(w) {
-		return full
+		return excludedNoRoom
 	}
 	if w.keepsRoomFrom(f.job, f.step) && (w.kept.forRestart || w.kept.preempted || f.yieldsKeptRoom()) {
-		return keepsRoomForOther
+		return excludedKeptRoom
 	}
-	if e := f.withoutIdleCPU(w); e != notExcluded && !(f.job.starved(f.leader.state.now) && w.colocated.ToleratesStarved()) {
+	if e := f.idleCPUExclusion(w); e != notExcluded && !(f.job.starved(f.leader.state.now) && w.colocated.ToleratesStarved()) {
 		return e
 	}
 	return notExcluded
 }
 
-// withoutIdleCPU returns why a best-effort task finds too little idle CPU on a worker.
-func (f *stepFilter) withoutIdleCPU(w *worker) exclusion {
+// idleCPUExclusion returns why a best-effort task finds too little idle CPU on a worker.
+func (f *stepFilter) idleCPUExclusion(w *worker) exclusion {
 	switch {
 	case !f.step.BestEffort:
 	case w.guard.SpeedLimit != fullSpeed:
-		return paced
+		return excludedThrottled
 	case w.idleMilliCores() < f.step.Request.MilliCores:
-		return tooLittleIdleCPU
+		return excludedNoIdleCPU
 	}
 	return notExcluded
 }
@@ -128,14 +128,14 @@
 // exclusion returns why no task may be started on a worker now, but for the tolerance of its
 // serving tasks, which the score tells.
 func (f *stepFilter) exclusion(w *worker) exclusion {
-	if e := f.withoutRoom(w); e != notExcluded {
+	if e := f.roomExclusion(w); e != notExcluded {
 		return e
 	}
 	if !w.withinStepLimit(f.key, f.step) {
-		return atStepLimit
+		return excludedStepLimit
 	}
 	if _, allowed := f.leader.ticketFor(w, f.key, f.policy); !allowed {
-		return withoutAdvice
+		return excludedNoAdvice
 	}
 	return notExcluded
 }
@@ -178,19 +178,19 @@
 	stored := w.used && w.usedAddress == w.entry.Address && !w.endPublished && w.foreign.known(now)
 	switch {
 	case !w.listed || !w.entryIsCurrent():
-		return notListed
+		return excludedNotListed
 	case w.entry.Draining:
-		return draining
+		return excludedDraining
 	case !w.listsRead || w.failedSyncs > 0:
-		return notAnswering
+		return excludedNotAnswering
 	case w.startsPausedUntil > now:
-		return pausedStarts
+		return excludedStartPause
 	case !stored:
-		return notStored
+		return excludedNotStored
 	case w.startsHeldForAck():
-		return heldForAck
+		return excludedUnackedEnds
 	case w.inEvacuatedZone():
-		return inEvacuatedZone
+		return excludedEvacuatedZone
 	}
 	return notExcluded
 }
