--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -8,6 +8,9 @@
 // Work is an amount of work, in millicore-seconds by declared run times.
 type Work int64
 
+// CoreSecond is the work of one processor in one second.
+const CoreSecond Work = 1000
+
 // Sizes is the number of sizes of jobs that are told apart. Each is twice the one below it;
 // the smallest has under one core-second of waiting work, the last has no limit.
 const Sizes = 12
@@ -17,8 +20,7 @@
 
 // SizeOf returns the size of a job by its waiting work.
 func SizeOf(w Work) int {
-	const coreSecond = 1000
-	return min(bits.Len64(uint64(max(w, 0)/coreSecond)), Sizes-1)
+	return min(bits.Len64(uint64(max(w, 0)/CoreSecond)), Sizes-1)
 }
 
 // Class is the load of one priority of a service in one shard.
--- a/core/ordering/ordering.go
+++ b/core/ordering/ordering.go
@@ -24,7 +24,7 @@
 	Age        time.Duration // since it was accepted
 	Objective  time.Duration // from its acceptance to the time by which it should be done
 	Chain      time.Duration // expected run time of the longest chain of its steps that is left
-	Work       float64       // expected work of its tasks that wait, in processor-seconds
+	Work       float64       // expected work of its tasks that wait, in core-seconds
 	Value      float64       // to its caller if it is done within its objective
 }
 
@@ -32,7 +32,7 @@
 	// WorthlessFactor times a job's objective is the age after which it has no value to
 	// its caller.
 	WorthlessFactor = 3
-	// minWork bounds the work that is left from below, in processor-seconds, so that jobs
+	// minWork bounds the work that is left from below, in core-seconds, so that jobs
 	// without estimates do not get an unbounded urgency.
 	minWork = 0.01
 )
@@ -89,7 +89,7 @@
 	return r
 }
 
-// urgency is the apparent tardiness cost of a job: the value for each processor-second that
+// urgency is the apparent tardiness cost of a job: the value for each core-second that
 // it still needs, discounted by its slack.
 func urgency(j Job, slack, lookahead time.Duration) float64 {
 	discount := math.Exp(-slack.Seconds() / max(lookahead.Seconds(), time.Millisecond.Seconds()))
@@ -137,7 +137,7 @@
 )
 
 // Value returns the value of a job to its caller, relative to a job with the mean work of
-// its queue. Works are in processor-seconds.
+// its queue. Works are in core-seconds.
 func Value(work, mean float64) float64 {
 	return jobShare + (1-jobShare)*min(work/max(mean, minWork), maxRelativeWork)
 }
--- a/core/preemption/preemption.go
+++ b/core/preemption/preemption.go
@@ -31,7 +31,7 @@
 	ID       int // index chosen by the caller
 	Priority int // of its queue; lower numbers are more urgent
 	Reserved structs.Resources
-	LostWork float64 // what a stop throws away, in processor-seconds
+	LostWork float64 // what a stop throws away, in core-seconds
 }
 
 // Offer is a worker that could run the waiting task if some runs gave way.
@@ -46,7 +46,7 @@
 type Task struct {
 	Priority int
 	Need     structs.Resources
-	Work     float64 // that it needs, in processor-seconds
+	Work     float64 // that it needs, in core-seconds
 }
 
 // Plan names the runs that give way on one worker.
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -64,7 +64,7 @@
 func (s *State) refuseNew(r *request, job *structs.Job, d admission.Decision) {
 	s.logDecision(Decision{
 		Part: "request", Action: "not admitted", Subject: string(job.ID), Where: job.Queue, Number: s.config.current.Number, Age: d.Age,
-		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/coreSecond, d.Completion.Seconds(), d.Limit.Seconds()),
+		Reason: fmt.Sprintf("%v: %d core-seconds ahead, done after %.1f s, without value after %.1f s", d.Reason, d.Ahead/admission.CoreSecond, d.Completion.Seconds(), d.Limit.Seconds()),
 	})
 	s.answer(r, Answer{Status: AnswerNotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter})
 }
@@ -96,7 +96,7 @@
 		Priority: policy.Priority, Chain: chain, Stretch: policy.Stretch, Slack: policy.Slack, Worthless: ordering.WorthlessFactor,
 	}
 	for i := range job.Steps {
-		demand.Work += taskWork(&job.Steps[i]) * admission.Work(job.Steps[i].Count)
+		demand.Work += declaredTaskWork(&job.Steps[i]) * admission.Work(job.Steps[i].Count)
 	}
 	return demand, admission.Limits{
 		MaxAge: maxLoadAge, MinMeasured: rateWarmUp, MaxTasks: maxWaitingTasks, MostUrgent: mostUrgent,
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -25,9 +25,9 @@
 	return classKey{policy.Service, policy.Priority}
 }
 
-// taskWork returns the declared work of one task of a step. A task that is restarted
+// declaredTaskWork returns the declared work of one task of a step. A task that is restarted
 // whenever it ends has none that could be done.
-func taskWork(step *structs.Step) admission.Work {
+func declaredTaskWork(step *structs.Step) admission.Work {
 	if step.Persistent {
 		return 0
 	}
@@ -43,10 +43,10 @@
 	if l.workDone[class] == nil {
 		l.workDone[class] = &admission.Meter{}
 	}
-	l.workDone[class].Add(taskWork(&j.Steps[step]), l.state.now)
+	l.workDone[class].Add(declaredTaskWork(&j.Steps[step]), l.state.now)
 }
 
-// addBacklog adds the backlog of each service to the load of the shard, if it matters.
+// addBacklog adds to the load of the shard the backlog of each service that may cause refusals.
 func (l *leaderState) addBacklog(row *ShardLoadRow) {
 	classes := l.backlog()
 	byService := make(map[string][]admission.Class)
@@ -54,7 +54,7 @@
 		byService[key.service] = append(byService[key.service], *classes[key])
 	}
 	for service, classes := range byService {
-		if !matters(classes) {
+		if !mayCauseRefusals(classes) {
 			continue
 		}
 		load := row.Services[service]
@@ -75,8 +75,8 @@
 // published. No job is refused because of a shorter wait.
 const minBacklogTime = 2 * time.Second
 
-// matters reports whether jobs may be refused because of a backlog.
-func matters(classes []admission.Class) bool {
+// mayCauseRefusals reports whether jobs may be refused because of a backlog.
+func mayCauseRefusals(classes []admission.Class) bool {
 	var work admission.Work
 	rate, tasks := 0.0, 0
 	for i := range classes {
@@ -108,7 +108,7 @@
 
 // addWaitingWork adds the tasks of a job that have no run.
 func (l *leaderState) addWaitingWork(waiting map[classKey]*admission.Class, j *job) {
-	work, tasks := l.waitingWork(j)
+	work, tasks := l.declaredWaitingWork(j)
 	if tasks == 0 {
 		return
 	}
@@ -125,9 +125,10 @@
 	}
 }
 
-// waitingWork returns the work of the tasks of a job that have no run, in occurrences that
-// are due, and their number.
-func (l *leaderState) waitingWork(j *job) (work admission.Work, tasks int) {
+// declaredWaitingWork returns the declared work of the tasks of a job that have no run, in
+// occurrences that are due, and their number. The rate is measured by declared run times too,
+// so that an error that they have in common cancels.
+func (l *leaderState) declaredWaitingWork(j *job) (work admission.Work, tasks int) {
 	for occurrence, steps := range j.waitingByStep {
 		if l.untilDueMS(j, occurrence) > 0 {
 			continue
@@ -135,7 +136,7 @@
 		for i, n := range steps {
 			if step := &j.Steps[i]; !step.Persistent {
 				tasks += n
-				work += taskWork(step) * admission.Work(n)
+				work += declaredTaskWork(step) * admission.Work(n)
 			}
 		}
 	}
@@ -167,19 +168,16 @@
 	}
 }
 
-// coreSecond is the unit of work in rows.
-const coreSecond = admission.Work(1000)
-
-// backlogClass returns the entry of a row for a class.
+// backlogClass returns the entry of a row for a class. Work in rows is in core-seconds.
 func backlogClass(c *admission.Class) BacklogClass {
-	out := BacklogClass{Priority: c.Priority, Waiting: int64(c.Waiting / coreSecond), Tasks: c.Tasks, Rate: int64(c.Rate)}
+	out := BacklogClass{Priority: c.Priority, Waiting: int64(c.Waiting / admission.CoreSecond), Tasks: c.Tasks, Rate: int64(c.Rate)}
 	if out.Rate == 0 {
 		out.Running = c.Running
 	}
 	for size, work := range c.OnTime {
-		if work >= coreSecond {
+		if work >= admission.CoreSecond {
 			out.OnTime = append(out.OnTime, make([]int64, size+1-len(out.OnTime))...)
-			out.OnTime[size] = int64(work / coreSecond)
+			out.OnTime[size] = int64(work / admission.CoreSecond)
 		}
 	}
 	return out
@@ -187,9 +185,9 @@
 
 // class returns the class of an entry of a row.
 func (b *BacklogClass) class() admission.Class {
-	c := admission.Class{Priority: b.Priority, Waiting: admission.Work(b.Waiting) * coreSecond, Tasks: b.Tasks, Running: b.Running, Rate: float64(b.Rate)}
+	c := admission.Class{Priority: b.Priority, Waiting: admission.Work(b.Waiting) * admission.CoreSecond, Tasks: b.Tasks, Running: b.Running, Rate: float64(b.Rate)}
 	for size, work := range b.OnTime[:min(len(b.OnTime), admission.Sizes)] {
-		c.OnTime[size] = admission.Work(work) * coreSecond
+		c.OnTime[size] = admission.Work(work) * admission.CoreSecond
 	}
 	return c
 }
--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -150,7 +150,7 @@
 	}
 	d := admission.Decide(demand, s.admission.reports, limits)
 	*out = AdmissionExplanation{
-		Applies: true, Reason: d.Reason.String(), AheadSeconds: int64(d.Ahead / coreSecond),
+		Applies: true, Reason: d.Reason.String(), AheadSeconds: int64(d.Ahead / admission.CoreSecond),
 		CompletionMS: d.Completion.Milliseconds(), LimitMS: d.Limit.Milliseconds(), AgeMS: d.Age.Milliseconds(),
 	}
 	return d
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -33,7 +33,7 @@
 	if _, free := l.countHolds(f); free <= 0 {
 		return
 	}
-	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.stepWork(ref.Step, 1)}
+	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.expectedStepWork(ref.Step, 1)}
 	offers, runs := l.preemptionOffers(f)
 	plan, ok := preemption.Choose(task, offers)
 	if !ok {
@@ -83,13 +83,11 @@
 	return r.phase == phaseRunning && !r.step.Persistent && !r.step.Gang && !recently
 }
 
-// lostWork returns the work that a stop of the run throws away, in processor-seconds.
+// lostWork returns the work that a stop of the run throws away, in core-seconds.
 func (r *run) lostWork() float64 {
-	const milliCoresPerCore = 1000
-	cores := float64(r.step.Request.MilliCores) / milliCoresPerCore
 	lost := r.worker.leader.state.now - r.confirmedAt
 	if r.step.SavesProgress {
 		lost = min(lost, resumeLoss)
 	}
-	return cores * lost.Seconds()
+	return r.step.Request.Cores() * lost.Seconds()
 }
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -11,10 +11,10 @@
 
 // jobOrder holds what the order of waiting jobs depends on besides the jobs.
 type jobOrder struct {
-	works  map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
+	works  map[string]*ordering.Mean // work of the admitted jobs, in core-seconds, by queue
 	chains ordering.Mean             // longest chains of the admitted finite jobs, in seconds
 	ranked []rankedJob               // reused by waitingJobs
-	ends   []time.Duration           // reused by longestChain
+	ends   []time.Duration           // reused by longestExpectedChain
 }
 
 // rankedJob is a waiting job with its rank in one pass.
@@ -37,11 +37,11 @@
 		mean = &ordering.Mean{}
 		o.works[j.Queue] = mean
 	}
-	mean.Observe(j.totalWork())
+	mean.Observe(j.expectedWork())
 	o.chains.Observe(o.chain(j).Seconds())
 }
 
-// meanWork returns the mean work of the jobs of a queue, in processor-seconds.
+// meanWork returns the mean work of the jobs of a queue, in core-seconds.
 func (o *jobOrder) meanWork(queue string) float64 {
 	if mean := o.works[queue]; mean != nil {
 		return mean.Value()
@@ -65,7 +65,7 @@
 			work += ranked[i].described.Work
 		}
 	}
-	lookahead := ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
+	lookahead := ordering.Lookahead(l.order.usualChain(), l.timeForWork(work))
 	for i := range ranked {
 		ranked[i].rank = ordering.RankOf(ranked[i].described, lookahead)
 	}
@@ -112,13 +112,12 @@
 	}
 }
 
-// drainTime returns in what time some work, in processor-seconds, is done at the present
-// rate of the shard; 0 if the rate is not known.
-func (l *leaderState) drainTime(work float64) time.Duration {
-	const milliCoresPerCore = 1000
+// timeForWork returns how long some work, in core-seconds, takes at the present rate of
+// the shard; 0 if the rate is not known.
+func (l *leaderState) timeForWork(work float64) time.Duration {
 	rate := 0.0
 	for _, done := range l.workDone {
-		rate += done.Rate(l.state.now) / milliCoresPerCore
+		rate += done.Rate(l.state.now) / structs.MilliCoresPerCore
 	}
 	if rate <= 0 {
 		return 0
@@ -139,8 +138,8 @@
 	}
 	return ordering.Job{
 		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.chain(j)),
-		Chain: l.order.chainLeft(j, occurrence), Work: j.waitingWork(occurrence),
-		Value: ordering.Value(j.totalWork(), l.order.meanWork(j.Queue)),
+		Chain: l.order.chainLeft(j, occurrence), Work: j.expectedWaitingWork(occurrence),
+		Value: ordering.Value(j.expectedWork(), l.order.meanWork(j.Queue)),
 	}
 }
 
@@ -172,19 +171,19 @@
 
 // chain returns the expected run time of the longest chain of dependent steps.
 func (o *jobOrder) chain(j *job) time.Duration {
-	return o.longestChain(j, func(int) bool { return true })
+	return o.longestExpectedChain(j, func(int) bool { return true })
 }
 
 // chainLeft returns the expected run time of the longest chain of the steps of an occurrence
 // that have tasks that wait.
 func (o *jobOrder) chainLeft(j *job, occurrence int) time.Duration {
 	waiting := j.waitingByStep[occurrence]
-	return o.longestChain(j, func(step int) bool { return waiting[step] > 0 })
+	return o.longestExpectedChain(j, func(step int) bool { return waiting[step] > 0 })
 }
 
-// longestChain returns the expected run time of the longest chain of those steps that a
-// condition holds for.
-func (o *jobOrder) longestChain(j *job, counts func(step int) bool) time.Duration {
+// longestExpectedChain returns the expected run time of the longest chain of those steps that
+// a condition holds for.
+func (o *jobOrder) longestExpectedChain(j *job, counts func(step int) bool) time.Duration {
 	o.ends = slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
 	return longestChain(j.Steps, o.ends, func(step int) time.Duration {
 		if !counts(step) {
@@ -232,27 +231,25 @@
 	j.runTimes[step].Observe(took.Seconds())
 }
 
-// totalWork returns the expected work of one occurrence of a job, in processor-seconds.
-func (j *job) totalWork() float64 {
+// expectedWork returns the expected work of one occurrence of a job, in core-seconds.
+func (j *job) expectedWork() float64 {
 	var work float64
 	for i := range j.Steps {
-		work += j.stepWork(i, j.Steps[i].Count)
+		work += j.expectedStepWork(i, j.Steps[i].Count)
 	}
 	return work
 }
 
-// waitingWork returns the expected work of the tasks of an occurrence that wait.
-func (j *job) waitingWork(occurrence int) float64 {
+// expectedWaitingWork returns the expected work of the tasks of an occurrence that wait.
+func (j *job) expectedWaitingWork(occurrence int) float64 {
 	var work float64
 	for i, waiting := range j.waitingByStep[occurrence] {
-		work += j.stepWork(i, waiting)
+		work += j.expectedStepWork(i, waiting)
 	}
 	return work
 }
 
-// stepWork returns the expected work of some tasks of a step, in processor-seconds.
-func (j *job) stepWork(step, tasks int) float64 {
-	const milliCoresPerCore = 1000
-	cores := float64(j.Steps[step].Request.MilliCores) / milliCoresPerCore
-	return float64(tasks) * cores * j.expectedRunTime(step).Seconds()
+// expectedStepWork returns the expected work of some tasks of a step, in core-seconds.
+func (j *job) expectedStepWork(step, tasks int) float64 {
+	return float64(tasks) * j.Steps[step].Request.Cores() * j.expectedRunTime(step).Seconds()
 }
--- a/core/structs/resources.go
+++ b/core/structs/resources.go
@@ -7,6 +7,12 @@
 	Accelerators int64 `json:"accelerators"` // whole devices
 }
 
+// MilliCoresPerCore is the number of thousandths in one processor.
+const MilliCoresPerCore = 1000
+
+// Cores returns the processors of r.
+func (r Resources) Cores() float64 { return float64(r.MilliCores) / MilliCoresPerCore }
+
 // Add returns the sum of r and o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
--- a/entry/internal/platformhost/shardgauges.go
+++ b/entry/internal/platformhost/shardgauges.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/scheduler"
+	"github.com/tamarackstep/tamarackstep/core/structs"
 	"github.com/tamarackstep/tamarackstep/entry/internal/telemetry"
 )
 
@@ -64,8 +65,7 @@
 }
 
 func (g *shardGauges) set(s backlogSeries, c scheduler.BacklogClass) {
-	const millicoresPerCore = 1000
 	labels := fmt.Sprintf("{shard=\"%d\",service=%q,priority=\"%d\"}", s.shard, s.service, s.priority)
 	g.metrics.SetGauge("tamarackstep_shard_backlog_core_seconds"+labels, float64(c.Waiting))
-	g.metrics.SetGauge("tamarackstep_shard_rate_cores"+labels, float64(c.Rate)/millicoresPerCore)
+	g.metrics.SetGauge("tamarackstep_shard_rate_cores"+labels, float64(c.Rate)/structs.MilliCoresPerCore)
 }
