--- a/core/scheduler/requests.go
+++ b/core/scheduler/requests.go
@@ -33,6 +33,13 @@
 	maxQueueLengthAge = 3 * time.Second
 )
 
+// Answers to requests that name no queue or job, for submissions and explanations alike.
+var (
+	answerNoConfiguration = Answer{Status: AnswerNotRun, Reason: "no configuration yet", RetryAfter: retryAfter}
+	answerNoSuchQueue     = Answer{Status: AnswerNoSuchQueue, Reason: "no such queue"}
+	answerInvalidJobID    = Answer{Status: AnswerInvalid, Reason: "the job ID is not 16 hexadecimal digits"}
+)
+
 // request is a caller's request in progress.
 type request struct {
 	id          RequestID
@@ -64,12 +71,12 @@
 	}
 	s.requests.open[a.Request] = r
 	if !s.config.known() {
-		s.answer(r, Answer{Status: AnswerNotRun, Reason: "no configuration yet", RetryAfter: retryAfter})
+		s.answer(r, answerNoConfiguration)
 		return
 	}
 	q, rest := s.config.queueOf(a.Host, a.Path)
 	if q == nil {
-		s.answer(r, Answer{Status: AnswerNoSuchQueue, Reason: "no such queue"})
+		s.answer(r, answerNoSuchQueue)
 		return
 	}
 	if rest == "" {
@@ -77,7 +84,7 @@
 		return
 	}
 	if !validJobID(rest) {
-		s.answer(r, Answer{Status: AnswerInvalid, Reason: "the job ID is not 16 hexadecimal digits"})
+		s.answer(r, answerInvalidJobID)
 		return
 	}
 	r.job = structs.JobID(rest)
@@ -123,8 +130,7 @@
 
 // submit stores a job. The caller is sent AnswerOK only once the job is stored.
 func (s *State) submit(r *request, q *structs.Queue, a RequestArrived) {
-	job := a.Job
-	job.ID, job.Queue, job.Policy, job.SubmittedMS = r.job, q.Name, q.Policy, s.wall
+	job := s.submittedJob(&a, r.job, q)
 	if refusal := s.refusalOf(&job, a.Body); refusal.Status != AnswerOK {
 		s.answer(r, refusal)
 		return
@@ -137,6 +143,13 @@
 	})
 }
 
+// submittedJob returns the job of a submission to a queue.
+func (s *State) submittedJob(a *RequestArrived, id structs.JobID, q *structs.Queue) structs.Job {
+	job := a.Job
+	job.ID, job.Queue, job.Policy, job.SubmittedMS = id, q.Name, q.Policy, s.wall
+	return job
+}
+
 // refusalOf returns the answer to a submission that is refused whatever the load is, or an
 // answer with AnswerOK. Body is the size of the request's body in bytes.
 func (s *State) refusalOf(job *structs.Job, body int64) Answer {
@@ -154,7 +167,7 @@
 		return Answer{Status: AnswerTooLarge, Reason: "the job is larger than the store takes"}
 	}
 	if s.store.shouldRefuse() {
-		return Answer{Status: AnswerNotRun, Reason: "the store cannot be reached", RetryAfter: retryAfter}
+		return Answer{Status: AnswerNotRun, Reason: storeUnreachable, RetryAfter: retryAfter}
 	}
 	return Answer{Status: AnswerOK}
 }
--- a/core/scheduler/storeaway.go
+++ b/core/scheduler/storeaway.go
@@ -35,11 +35,15 @@
 // noStoreAnswer is the reason of answers to requests whose calls to the store failed.
 const noStoreAnswer = "no answer from the store"
 
+// storeUnreachable is the reason of answers to requests that are refused while all calls to the
+// store fail.
+const storeUnreachable = "the store cannot be reached"
+
 // whileReachable calls then, or refuses the request at once while all calls to the store
 // fail.
 func (s *State) whileReachable(r *request, then func()) {
 	if s.store.shouldRefuse() {
-		s.giveUp(r, "the store cannot be reached")
+		s.giveUp(r, storeUnreachable)
 		return
 	}
 	then()
