--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -27,7 +27,7 @@
 // commits), commititems.go (the rows of one commit), progress.go (the rows of a job),
 // usedworkers.go, rowsize.go (the sizes of rows) and reject.go (rows that the store does
 // not take); reads of whole tables are in bulkread.go. What callers are answered while the
-// store does not answer is in storeaway.go.
+// store does not answer is in storeoutage.go.
 //
 // Two kinds of tasks share a worker. Serving tasks have a target for their tail
 // latency. Best-effort tasks use the CPU that other tasks leave idle; they are
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -58,8 +58,8 @@
 	if h.failures == refuseAfterFailures {
 		s.after(max(h.lastSuccess+storeFailureGrace-s.now, 0), s.updateReady)
 	}
-	if h.away(s.now) {
-		s.after(0, s.giveUpWhileAway) // once the outcome of this call is recorded
+	if h.isOutage(s.now) {
+		s.after(0, s.giveUpDuringOutage) // once the outcome of this call is recorded
 	}
 }
 
@@ -74,10 +74,10 @@
 // the store is reachable again.
 func (h *storeHealth) shouldRefuse() bool { return h.failing && h.failures >= refuseAfterFailures }
 
-// away reports whether all calls have failed for so long that the requests in progress
+// isOutage reports whether all calls have failed for so long that the requests in progress
 // are better served by another host.
-func (h *storeHealth) away(now Instant) bool {
-	return h.shouldRefuse() && now-h.lastSuccess >= storeAwayTime
+func (h *storeHealth) isOutage(now Instant) bool {
+	return h.shouldRefuse() && now-h.lastSuccess >= storeOutageTime
 }
 
 func outcomeName(o structs.Outcome) string {
--- a/core/scheduler/storeaway.go
+++ b/core/scheduler/storeoutage.go
@@ -16,9 +16,9 @@
 	// stored before another call has been answered. A host polls the loads more often,
 	// unless it is a weak one.
 	recentSuccess = 800 * time.Millisecond
-	// storeAwayTime is how long all calls must have failed before requests that may be
+	// storeOutageTime is how long all calls must have failed before requests that may be
 	// stored are no longer repeated. One lost answer or connection costs less than this.
-	storeAwayTime = time.Second
+	storeOutageTime = time.Second
 	// submitTimeout bounds one attempt to store a job. It covers the longest queue of
 	// transactions in a partition of a slow store: a repetition would take another place
 	// in it.
@@ -150,11 +150,11 @@
 }
 
 // retry calls again after a pause, or gives the request up at its deadline or while the
-// store is away: the caller may reach it through another host. A request for which
+// store has an outage: the caller may reach it through another host. A request for which
 // nothing may be stored is not held as long, since it can certainly be sent again.
 func (s *State) retry(r *request, reason string, again func()) {
-	away := s.store.away(s.now) || r.mayBeStored == 0 && s.store.shouldRefuse()
-	if away || s.now+storeRetryDelay >= r.deadline {
+	outage := s.store.isOutage(s.now) || r.mayBeStored == 0 && s.store.shouldRefuse()
+	if outage || s.now+storeRetryDelay >= r.deadline {
 		s.giveUp(r, reason)
 		return
 	}
@@ -175,9 +175,9 @@
 	s.answer(r, Answer{Status: status, Reason: reason, RetryAfter: retryAfter})
 }
 
-// giveUpWhileAway gives up all open requests if the store is still away.
-func (s *State) giveUpWhileAway() {
-	if s.store.away(s.now) {
+// giveUpDuringOutage gives up all open requests if the outage of the store goes on.
+func (s *State) giveUpDuringOutage() {
+	if s.store.isOutage(s.now) {
 		s.giveUpAll(noStoreAnswer)
 	}
 }
--- a/core/scheduler/storeaway_test.go
+++ b/core/scheduler/storeoutage_test.go
@@ -60,15 +60,15 @@
 	sim.waitFor(4*time.Second, "the late commit", func() bool { return sim.store.get(TableJobs, jobA) != nil })
 }
 
-// TestRequestsEndWhileStoreIsAway guards against requests that are held to their deadline
+// TestRequestsEndDuringStoreOutage guards against requests that are held to their deadline
 // although the host knows that it cannot reach the store.
-func TestRequestsEndWhileStoreIsAway(t *testing.T) {
+func TestRequestsEndDuringStoreOutage(t *testing.T) {
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
 	sim.hosts[0].storeCut = true
 	req := sim.request(sim.hosts[0], RequestState, "/q/"+jobA)
-	sim.awaitAnswer(req, readTimeout+storeAwayTime/2)
+	sim.awaitAnswer(req, readTimeout+storeOutageTime/2)
 }
 
 // TestCancelOfAnsweredRequestIsNotWritten guards against a cancellation that is stored
@@ -101,9 +101,9 @@
 	}
 }
 
-// TestHostTurnedAwayLeavesRotation guards against callers who are sent to a host that the
+// TestHostRefusedByStoreLeavesRotation guards against callers who are sent to a host that the
 // store does not answer, and against one that stays out of rotation afterwards.
-func TestHostTurnedAwayLeavesRotation(t *testing.T) {
+func TestHostRefusedByStoreLeavesRotation(t *testing.T) {
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	h := sim.hosts[0]
