--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -191,21 +191,3 @@
 	}
 	return c
 }
-
-// reportShards reports the known loads of all shards for the metrics.
-func (s *State) reportShards() {
-	v := &s.shards
-	for id := range ShardID(v.count()) {
-		row, ok := v.loads[id]
-		if !ok || row.AtMS == 0 {
-			continue
-		}
-		report := ShardReport{Shard: id, WrittenAt: s.now - v.age(row, s.now), Backlog: make(map[string][]BacklogClass)}
-		for service, load := range row.Services {
-			if len(load.Backlog) > 0 {
-				report.Backlog[service] = load.Backlog
-			}
-		}
-		s.emit(report)
-	}
-}
--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -14,20 +14,32 @@
 // The workers' own lists are the authority on where a task runs; a new leader
 // reads them before it starts anything that a former leader may have started.
 //
-// The files by subject: the division of workers into shards in plan.go, the loads of
-// shards in shards.go and backlog.go, the refusal of new jobs in admission.go, the
-// shard of a new job in route.go, moves of jobs in moving.go, leadership in
-// leadership.go and leader.go; the queue of one shard in schedule.go and its order in
-// rank.go, its limits in startwindow.go (how many starts) and startlimit.go (until
-// when), and placement in ranking.go (order of the workers), place.go (filter and score),
-// exclusion.go (the names of the filter's conditions), hold.go (room that is kept) and
-// preempt.go (runs that give way). Evacuated zones are in evacuation.go, moves out of them
-// in zonemoves.go, and off draining workers in drain.go. explain.go tells what would happen
-// to a job that is not submitted. What the leader stores is in commit.go (the chain of its
-// commits), commititems.go (the rows of one commit), progress.go (the rows of a job),
-// usedworkers.go, rowsize.go (the sizes of rows) and reject.go (rows that the store does
-// not take); reads of whole tables are in bulkread.go. What callers are answered while the
-// store does not answer is in storeoutage.go.
+// The files by subject:
+//
+//   - the reducer: state.go, event.go, effect.go, rows.go (rows of the store), config.go
+//   - requests of callers: requests.go, admission.go (refusal for lack of room), route.go
+//     (shard of a new job), storeoutage.go (answers during an outage of the store),
+//     explain.go and explanation.go (what would happen to a job that is not submitted)
+//   - the store: store.go (health, calls and watches), bulkread.go (reads of whole tables)
+//   - shards and leaders: plan.go (division of workers into shards), shards.go and
+//     backlog.go (their loads), leadership.go (election), leader.go (state of a leader)
+//   - jobs: jobs.go, progress.go (rows of a job), moving.go (moves between shards), parts.go
+//     (tasks given to other shards), expire.go (removal of old rows)
+//   - the queue of a shard: schedule.go (passes), rank.go (order), startwindow.go (how many
+//     starts), startlimit.go (until when)
+//   - placement: ranking.go (order of the workers), place.go (filter and score), exclusion.go
+//     (names of the filter's conditions), hold.go (room that is kept), preempt.go (runs that
+//     give way), advice.go (the advice service)
+//   - workers: workers.go, sync.go, incarnation.go, reconcile.go, lease.go, quarantine.go,
+//     usedworkers.go (workers that may have runs)
+//   - runs: runs.go, ack.go (acknowledgement of ends), latestarts.go (starts without an
+//     answer)
+//   - runs that are moved: drain.go (off draining workers), evacuation.go and zonemoves.go
+//     (out of evacuated zones)
+//   - best-effort tasks beside serving tasks: interference.go (learned estimates),
+//     throttle.go
+//   - what a leader stores: commit.go (chain of commits), commititems.go (rows of one commit),
+//     rowsize.go (sizes of rows), reject.go (rows that the store does not take)
 //
 // Two kinds of tasks share a worker. Serving tasks have a target for their tail
 // latency. Best-effort tasks use the CPU that other tasks leave idle; they are
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -284,3 +284,21 @@
 	}
 	return load.slots(step) - int64(tasks)
 }
+
+// reportShards reports the known loads of all shards for the metrics.
+func (s *State) reportShards() {
+	v := &s.shards
+	for id := range ShardID(v.count()) {
+		row, ok := v.loads[id]
+		if !ok || row.AtMS == 0 {
+			continue
+		}
+		report := ShardReport{Shard: id, WrittenAt: s.now - v.age(row, s.now), Backlog: make(map[string][]BacklogClass)}
+		for service, load := range row.Services {
+			if len(load.Backlog) > 0 {
+				report.Backlog[service] = load.Backlog
+			}
+		}
+		s.emit(report)
+	}
+}
--- a/core/scheduler/zonemoves.go
+++ b/core/scheduler/zonemoves.go
@@ -16,13 +16,13 @@
 const (
 	// maxZoneMoves bounds the tasks of a shard that are on their way out of evacuated zones.
 	maxZoneMoves = 4
-	// zoneMoveTimeout is the age from which a move no longer counts: the task waits for room
-	// or does not come to work, and other tasks should not wait for it.
+	// zoneMoveTimeout is the age from which a move no longer counts: the task finds no room or
+	// does not start up, and other tasks should not wait for it.
 	zoneMoveTimeout = 5 * time.Second
 	// zoneMoveRetry is the pause after a search for room that found none.
 	zoneMoveRetry = 500 * time.Millisecond
-	// zoneMoveReserve is the inverse of the share of a worker's processors that a task that
-	// moves there leaves free, for finite tasks.
+	// zoneMoveReserve is the share of a worker's processors, one in so many, that a task that
+	// moves there leaves free for finite tasks.
 	zoneMoveReserve = 4
 )
 
@@ -40,7 +40,7 @@
 	sentAt Instant
 }
 
-// done reports whether the task is at work elsewhere, or need not be waited for.
+// done reports whether the task has started up elsewhere, or need not be waited for.
 func (m *zoneMove) done(now Instant) bool {
 	t := m.from.job.taskAt(m.from.ref)
 	arrived := t.run != nil && t.run != m.from && t.run.readySince > 0
@@ -74,29 +74,29 @@
 }
 
 // mayInterrupt reports whether a task of a persistent step may be kept from working: with it,
-// no more of the step are away than may be, or one where the step states no limit. Tasks that
-// other shards schedule count as away, since their state is not known here.
+// no more of the step are unavailable than may be, or one where the step states no limit. Tasks
+// that other shards schedule count as unavailable, since their state is not known here.
 func (j *job) mayInterrupt(ref structs.TaskRef) bool {
 	limit := max(j.Steps[ref.Step].MaxUnavailable, 1)
-	away := 1
+	unavailable := 1
 	for index := range j.Steps[ref.Step].Count {
 		if index == ref.Index {
 			continue
 		}
 		t := j.taskAt(j.taskRef(ref.Occurrence, ref.Step, index))
-		if t.elsewhere || t.run == nil || !t.run.atWork() {
-			away++
+		if t.elsewhere || t.run == nil || !t.run.available() {
+			unavailable++
 		}
-		if away > limit {
+		if unavailable > limit {
 			return false
 		}
 	}
 	return true
 }
 
-// atWork reports whether the run of a persistent task has started up and is not being stopped,
+// available reports whether the run of a persistent task has started up and is not being stopped,
 // as far as its worker has answered.
-func (r *run) atWork() bool {
+func (r *run) available() bool {
 	return r.phase == phaseRunning && r.readySince > 0 && r.stopRequestedAt == 0 && r.worker.failedSyncs == 0
 }
 
