--- a/core/colocation/admit.go
+++ b/core/colocation/admit.go
@@ -1,7 +1,12 @@
 package colocation
 
-// placementMargin is utilization that placement keeps free for load fluctuations.
-const placementMargin = 0.05
+const (
+	// placementMargin is utilization that placement keeps free for load fluctuations.
+	placementMargin = 0.05
+	// lowTailRatio is the ratio of a serving task's tail latency to its target below
+	// which best-effort tasks are assumed not to disturb it.
+	lowTailRatio = 0.7
+)
 
 // Tolerates reports whether the serving tasks meet their targets with one more
 // best-effort task. It also returns the least utilization that any of them has to spare
@@ -11,7 +16,7 @@
 	for _, s := range w.Serving {
 		contention := s.contention + m.PressureOn(s.Image, image).Value*share
 		limit := m.safeUtilization(s) - placementMargin
-		if s.Load.expectedRise()+contention > limit {
+		if s.Load.expectedUtilization()+contention > limit {
 			return false, 0
 		}
 		headroom = min(headroom, limit-s.Load.expectedPeak()-contention)
--- a/core/colocation/colocation_test.go
+++ b/core/colocation/colocation_test.go
@@ -11,9 +11,9 @@
 func newSharedWorker(bestEffort ...*BestEffort) *Worker {
 	m := NewModel([]BaseTail{{"web", 10}}, nil)
 	w := &Worker{Model: m, MilliCores: 16000}
-	w.AddServing(&Serving{Image: m.ImageIDOf("web"), TargetMS: 100, TailMS: 20, Running: true, Ready: true, Load: &Load{utilization: 0.5, peak: 0.5, variance: 0.001, updatedAt: 1}})
+	w.AddServing(&Serving{Image: m.RegisterImage("web"), TargetMS: 100, TailMS: 20, Running: true, Ready: true, Load: &Load{utilization: 0.5, peak: 0.5, variance: 0.001, updatedAt: 1}})
 	for _, b := range bestEffort {
-		b.Image, b.Requested, b.Used = m.ImageIDOf("batch"), 2000, 2000
+		b.Image, b.Requested, b.Used = m.RegisterImage("batch"), 2000, 2000
 		w.AddBestEffort(b)
 	}
 	return w
@@ -25,21 +25,21 @@
 // for every serving image.
 func TestUnseenPairTakesEstimateOfImage(t *testing.T) {
 	m := NewModel(nil, nil)
-	heavy := m.ImageIDOf("heavy")
+	heavy := m.RegisterImage("heavy")
 	for _, serving := range []string{"a", "b", "c"} {
-		m.Set(m.ImageIDOf(serving), heavy, Pressure{2.5, 0.01})
+		m.Set(m.RegisterImage(serving), heavy, Pressure{2.5, 0.01})
 	}
-	p := m.PressureOn(m.ImageIDOf("unseen"), heavy)
+	p := m.PressureOn(m.RegisterImage("unseen"), heavy)
 	if p.Value < 1.5 || p.Variance >= priorVariance || p.Variance < pairVariance {
 		t.Errorf("estimate %+v of an image with pressure 2.5 on three others", p)
 	}
-	if p := m.PressureOn(m.ImageIDOf("a"), m.ImageIDOf("new")); math.Abs(p.Value-priorPressure) > 1e-9 {
+	if p := m.PressureOn(m.RegisterImage("a"), m.RegisterImage("new")); math.Abs(p.Value-priorPressure) > 1e-9 {
 		t.Errorf("estimate %+v of an image that nobody has seen", p)
 	}
 }
 
-// TestNearlyDoneTaskIsPaced guards against stops that throw more away than pacing costs.
-func TestNearlyDoneTaskIsPaced(t *testing.T) {
+// TestNearlyDoneTaskIsThrottled guards against stops that throw away more work than throttling costs.
+func TestNearlyDoneTaskIsThrottled(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		task BestEffort
@@ -62,7 +62,7 @@
 // TestHeaviestTaskIsSlowedDown guards against slowing down tasks that disturb nobody.
 func TestHeaviestTaskIsSlowedDown(t *testing.T) {
 	w := newSharedWorker(&BestEffort{}, &BestEffort{})
-	w.BestEffort[1].Image = w.Model.ImageIDOf("noisy")
+	w.BestEffort[1].Image = w.Model.RegisterImage("noisy")
 	w.Model.Set(w.Serving[0].Image, w.BestEffort[0].Image, Pressure{0.2, 0.01})
 	w.Model.Set(w.Serving[0].Image, w.BestEffort[1].Image, Pressure{3.5, 0.01})
 	relief := w.Relieve(FullSpeed, 0, nil)
@@ -76,8 +76,8 @@
 func TestWorkerWithRoomAtPeakIsPreferred(t *testing.T) {
 	steady, swinging := newSharedWorker(), newSharedWorker()
 	swinging.Serving[0].Load.utilization, swinging.Serving[0].Load.peak = 0.3, 0.8
-	image := steady.Model.ImageIDOf("batch")
-	swinging.Model.ImageIDOf("batch")
+	image := steady.Model.RegisterImage("batch")
+	swinging.Model.RegisterImage("batch")
 	_, headroom := steady.Tolerates(image, 2000)
 	tolerated, atPeak := swinging.Tolerates(image, 2000)
 	if !tolerated || atPeak >= headroom {
--- a/core/colocation/guard.go
+++ b/core/colocation/guard.go
@@ -3,13 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 const (
-	// lowTailRatio is the ratio of a serving task's tail latency to its target below
-	// which best-effort tasks are assumed not to disturb it.
-	lowTailRatio = 0.7
-	// raiseTailRatio is the ratio below which the limit is raised.
+	// raiseTailRatio is the ratio of a serving task's tail latency to its target below
+	// which the limit is raised.
 	raiseTailRatio = 0.9
 	// throttleDelay is how long a serving task may miss its target before all
 	// best-effort tasks on the worker are throttled, whatever the estimates say.
@@ -41,8 +41,8 @@
 // Update changes the limit by the worst ratio of a tail latency to its target, and
 // reports whether it did.
 func (g *Guard) Update(worst float64, now time.Duration) bool {
-	trackSince(&g.lowSince, worst < raiseTailRatio, now)
-	trackSince(&g.missedSince, worst >= 1, now)
+	timers.TrackSince(&g.lowSince, worst < raiseTailRatio, now)
+	timers.TrackSince(&g.missedSince, worst >= 1, now)
 	index := slices.Index(guardLimits[:], g.SpeedLimit)
 	switch {
 	case g.missedSince > 0 && now-g.missedSince >= pauseDelay:
@@ -60,13 +60,3 @@
 	g.SpeedLimit, g.changedAt = limit, now
 	return true
 }
-
-// trackSince sets *at to the time since which a condition holds, or 0 while it does not.
-func trackSince(at *time.Duration, holds bool, now time.Duration) {
-	switch {
-	case !holds:
-		*at = 0
-	case *at == 0:
-		*at = now
-	}
-}
--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -25,38 +25,38 @@
 
 // expectedPeak returns the highest utilization from the task's own load to expect
 // during the run of a best-effort task.
-func (o *Load) expectedPeak() float64 { return max(o.utilization, o.peak) }
+func (l *Load) expectedPeak() float64 { return max(l.utilization, l.peak) }
 
-// expectedRise returns the utilization to expect from the task's own load while a
+// expectedUtilization returns the utilization to expect from the task's own load while a
 // best-effort task that starts now runs: between the present one and the peak.
-func (o *Load) expectedRise() float64 {
-	return o.utilization + riseShare*(o.expectedPeak()-o.utilization)
+func (l *Load) expectedUtilization() float64 {
+	return l.utilization + riseShare*(l.expectedPeak()-l.utilization)
 }
 
 // CPUShare returns the share of its requested CPU that a serving task is expected to use.
-func (o *Load) CPUShare() float64 {
-	if o.updatedAt == 0 {
+func (l *Load) CPUShare() float64 {
+	if l.updatedAt == 0 {
 		return unknownCPUShare
 	}
-	return o.utilization
+	return l.utilization
 }
 
 // advance accounts for the time since the last measurement, and starts from a measured
 // utilization if there was none. It returns the time in seconds.
-func (o *Load) advance(measured float64, now time.Duration) float64 {
-	if o.updatedAt == 0 {
-		*o = Load{utilization: measured, variance: priorVariance, updatedAt: now}
+func (l *Load) advance(measured float64, now time.Duration) float64 {
+	if l.updatedAt == 0 {
+		*l = Load{utilization: measured, variance: priorVariance, updatedAt: now}
 	}
-	elapsed := (now - o.updatedAt).Seconds()
-	o.variance += loadDriftVariance * elapsed
-	o.updatedAt = now
+	elapsed := (now - l.updatedAt).Seconds()
+	l.variance += loadDriftVariance * elapsed
+	l.updatedAt = now
 	return elapsed
 }
 
-// correct applies the part of a correction that is due to the load. The variance is that of the whole
-// measurement.
-func (o *Load) correct(correction, variance, elapsed float64) {
-	o.utilization = min(max(o.utilization+o.variance*correction, 0), maxUtilization)
-	o.variance -= o.variance * o.variance / variance
-	o.peak = max(o.utilization, o.peak-peakDecay*elapsed)
+// correct applies the part of a correction that is due to the load. The variance is that of
+// the whole measurement.
+func (l *Load) correct(correction, variance, elapsed float64) {
+	l.utilization = min(max(l.utilization+l.variance*correction, 0), maxUtilization)
+	l.variance -= l.variance * l.variance / variance
+	l.peak = max(l.utilization, l.peak-peakDecay*elapsed)
 }
--- a/core/colocation/model.go
+++ b/core/colocation/model.go
@@ -39,8 +39,8 @@
 	Pressure
 }
 
-// unknown stands for a pair without any observation.
-var unknown = Pressure{priorPressure, priorVariance}
+// unobserved is the estimate for a pair without any observation.
+var unobserved = Pressure{priorPressure, priorVariance}
 
 const (
 	// priorPressure and priorVariance describe a best-effort image without any
@@ -70,16 +70,16 @@
 func NewModel(bases []BaseTail, pairs []Pair) *Model {
 	m := &Model{ids: make(map[string]ImageID)}
 	for _, b := range bases {
-		m.baseTailsMS[m.ImageIDOf(b.Image)] = b.TailMS
+		m.baseTailsMS[m.RegisterImage(b.Image)] = b.TailMS
 	}
 	for _, p := range pairs {
-		m.Set(m.ImageIDOf(p.Serving), m.ImageIDOf(p.BestEffort), p.Pressure)
+		m.Set(m.RegisterImage(p.Serving), m.RegisterImage(p.BestEffort), p.Pressure)
 	}
 	return m
 }
 
-// ImageIDOf returns the number of an image.
-func (m *Model) ImageIDOf(name string) ImageID {
+// RegisterImage returns the number of an image, a new one at its first use.
+func (m *Model) RegisterImage(name string) ImageID {
 	id, ok := m.ids[name]
 	if !ok {
 		id = ImageID(len(m.images))
@@ -91,8 +91,8 @@
 	return id
 }
 
-// FindImage returns the number of an image like ImageIDOf, but records nothing: an image that
-// is not known gets a number that no other image has.
+// FindImage returns the number of an image and records nothing: an image that is not known gets a
+// number that no other image has.
 func (m *Model) FindImage(name string) ImageID {
 	if id, ok := m.ids[name]; ok {
 		return id
@@ -112,7 +112,7 @@
 	var pairs []Pair
 	for serving, row := range m.pressures {
 		for bestEffort, p := range row {
-			if p != unknown {
+			if p != unobserved {
 				pairs = append(pairs, Pair{m.images[serving], m.images[bestEffort], p})
 			}
 		}
@@ -123,7 +123,7 @@
 
 // PressureOn returns the estimate for a best-effort image on a serving image.
 func (m *Model) PressureOn(serving, bestEffort ImageID) Pressure {
-	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unknown {
+	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unobserved {
 		return row[bestEffort]
 	}
 	return m.expectedOf(bestEffort)
@@ -139,7 +139,7 @@
 	const ownWeight = 1 / (priorVariance - pairVariance)
 	weight, sum := ownWeight, ownWeight*priorPressure
 	for _, row := range m.pressures {
-		if int(bestEffort) < len(row) && row[bestEffort] != unknown {
+		if int(bestEffort) < len(row) && row[bestEffort] != unobserved {
 			w := 1 / (row[bestEffort].Variance + pairVariance)
 			weight, sum = weight+w, sum+w*row[bestEffort].Value
 		}
@@ -155,10 +155,10 @@
 // next call.
 func (m *Model) estimate(serving, bestEffort ImageID) *Pressure {
 	for int(bestEffort) >= len(m.pressures[serving]) {
-		m.pressures[serving] = append(m.pressures[serving], unknown)
+		m.pressures[serving] = append(m.pressures[serving], unobserved)
 	}
 	p := &m.pressures[serving][bestEffort]
-	if *p == unknown {
+	if *p == unobserved {
 		*p = m.expectedOf(bestEffort)
 	}
 	m.expected[bestEffort] = Pressure{}
--- a/core/colocation/relief.go
+++ b/core/colocation/relief.go
@@ -8,6 +8,9 @@
 const (
 	// minContention is the least contention for which tasks are moved or throttled.
 	minContention = 0.02
+	// minTaskContention is the least contention of one task that is moved or throttled: several
+	// tasks may add up to minContention.
+	minTaskContention = minContention / 4
 	// RaiseMargin is utilization that must remain free after a speed limit is raised, so
 	// that it is not lowered again at once.
 	RaiseMargin = 0.05
@@ -49,17 +52,17 @@
 	return out
 }
 
-// relieve lowers speed limits, not below a least one, until each serving task has a
+// relieve lowers speed limits, not below minLimit, until each serving task has a
 // margin free or no task can be slowed down for it.
-func (w *Worker) relieve(out []Relief, margin float64, least int, movable func(bestEffort int) bool) {
+func (w *Worker) relieve(out []Relief, margin float64, minLimit int, movable func(bestEffort int) bool) {
 	for {
-		s, over := w.mostOverloaded(out, margin, least)
+		s, over := w.mostOverloaded(out, margin, minLimit)
 		if s == nil {
 			return
 		}
-		at := w.heaviest(s, out, least)
+		at := w.heaviest(s, out, minLimit)
 		b := w.BestEffort[at]
-		limit := max(loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed)), least)
+		limit := max(loweredBy(out[at].SpeedLimit, (over+reliefMargin)/w.contentionFrom(s, b, FullSpeed)), minLimit)
 		if movable != nil && b.endsSoonerElsewhere(limit) && movable(at) {
 			out[at] = Relief{Move: true}
 			continue
@@ -87,11 +90,11 @@
 // mostOverloaded returns the serving task whose utilization is furthest above its safe
 // utilization, less a margin, and by how much; nil: none is above it because of tasks that
 // can be slowed down.
-func (w *Worker) mostOverloaded(relief []Relief, margin float64, least int) (*Serving, float64) {
+func (w *Worker) mostOverloaded(relief []Relief, margin float64, minLimit int) (*Serving, float64) {
 	var worst *Serving
 	var most float64
 	for _, s := range w.Serving {
-		if !s.Ready || w.heaviest(s, relief, least) < 0 {
+		if !s.Ready || w.heaviest(s, relief, minLimit) < 0 {
 			continue
 		}
 		over := s.Load.utilization + margin - w.Model.safeUtilization(s)
@@ -107,11 +110,11 @@
 }
 
 // heaviest returns the best-effort task that causes most contention for a serving task by
-// the work that it does, among those that cause any and are above a least limit; -1: none.
-func (w *Worker) heaviest(s *Serving, relief []Relief, least int) int {
+// the work that it does, among those that cause any and are above minLimit; -1: none.
+func (w *Worker) heaviest(s *Serving, relief []Relief, minLimit int) int {
 	at, most := -1, 0.0
 	for i, b := range w.BestEffort {
-		if relief[i].SpeedLimit <= least || w.contentionFrom(s, b, relief[i].SpeedLimit) < minContention/4 {
+		if relief[i].SpeedLimit <= minLimit || w.contentionFrom(s, b, relief[i].SpeedLimit) < minTaskContention {
 			continue
 		}
 		if p := w.Model.PressureOn(s.Image, b.Image).Value; p > most {
--- a/core/colocation/replay_test.go
+++ b/core/colocation/replay_test.go
@@ -117,7 +117,7 @@
 }
 
 func formerPressure(m *Model, serving, bestEffort ImageID) float64 {
-	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unknown {
+	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unobserved {
 		return row[bestEffort].Value
 	}
 	return priorPressure
@@ -177,7 +177,7 @@
 	}
 	m := NewModel(bases, nil)
 	for k := range bestEffortImages {
-		m.ImageIDOf(fmt.Sprint("best effort", k))
+		m.RegisterImage(fmt.Sprint("best effort", k))
 		heavy := float64(k) < load.heavy*bestEffortImages
 		for i := range servingImages {
 			p := &r.pressures[i][k]
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -49,7 +49,7 @@
 // addColocated adds a run to those that share the worker's CPU, if it is of a serving or
 // a best-effort task.
 func (w *worker) addColocated(r *run) {
-	r.image = w.leader.interference.ImageIDOf(r.step.Image)
+	r.image = w.leader.interference.RegisterImage(r.step.Image)
 	switch {
 	case r.step.TailTarget > 0:
 		r.serving = &colocation.Serving{Image: r.image, TargetMS: float64(r.step.TailTarget.Milliseconds()), Load: r.job.stepLoad(r.ref)}
--- a/core/scheduler/interference_test.go
+++ b/core/scheduler/interference_test.go
@@ -78,13 +78,13 @@
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	learned := sim.leader().state.leaderOf(0).interference
-	learned.Set(learned.ImageIDOf("web"), learned.ImageIDOf("noisy"), colocation.Pressure{Value: 2, Variance: 0.01})
+	learned.Set(learned.RegisterImage("web"), learned.RegisterImage("noisy"), colocation.Pressure{Value: 2, Variance: 0.01})
 	sim.advance(pressuresInterval + time.Second)
 	sim.leader().kill()
 	sim.advance(5 * time.Second)
 	sim.waitForLeader()
 	learned = sim.leader().state.leaderOf(0).interference
-	if got := learned.PressureOn(learned.ImageIDOf("web"), learned.ImageIDOf("noisy")).Value; got != 2 {
+	if got := learned.PressureOn(learned.RegisterImage("web"), learned.RegisterImage("noisy")).Value; got != 2 {
 		t.Errorf("pressure at the new leader is %v, want 2", got)
 	}
 }
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 const (
@@ -169,7 +170,7 @@
 			l.pressures = v
 		}
 	}
-	trackSince(&l.vacantSince, l.lease.ExpiresMS == 0, s.now)
+	timers.TrackSince(&l.vacantSince, l.lease.ExpiresMS == 0, s.now)
 	leader := s.leaderOf(l.shard)
 	if leader == nil {
 		return
--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 // reconcile updates the leader's view of a worker's runs from the worker's list
@@ -29,7 +30,7 @@
 			r.progressedAt = l.state.now
 		}
 		r.percent, r.gauge = a.Percent, a.Gauge
-		trackSince(&r.readySince, r.step.Persistent && r.percent == fullSpeed, l.state.now)
+		timers.TrackSince(&r.readySince, r.step.Persistent && r.percent == fullSpeed, l.state.now)
 		w.recordWorking(r)
 		if a.Checkpoint != "" {
 			r.checkpoint = a.Checkpoint
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 const (
@@ -104,7 +105,7 @@
 		v := &s.shards
 		readable := r.Outcome == structs.OutcomeDone
 		if readable || timeout >= readTimeout { // a shorter read proves nothing about a slow store
-			trackSince(&v.readableSince, readable, s.now)
+			timers.TrackSince(&v.readableSince, readable, s.now)
 		}
 		if readable {
 			v.storeMS, v.readAt, v.readTime, v.everRead = r.StoreMS, s.now, s.now-sentAt, true
--- a/core/scheduler/throttle.go
+++ b/core/scheduler/throttle.go
@@ -90,17 +90,6 @@
 	return r.workedBefore + since*time.Duration(max(r.speedLimit, 0))/fullSpeed
 }
 
-// trackSince sets *at to the time since which a condition holds, or 0 while it does
-// not hold.
-func trackSince(at *Instant, holds bool, now Instant) {
-	switch {
-	case !holds:
-		*at = 0
-	case *at == 0:
-		*at = now
-	}
-}
-
 func tailRatioText(worst float64) string {
 	return "worst tail at " + strconv.Itoa(int(100*worst)) + "% of its target"
 }
--- a/core/timers/timers.go
+++ b/core/timers/timers.go
@@ -1,6 +1,6 @@
-// Package timers provides a queue of values that are due at later times, for use
-// inside a reducer. A queue reads no clock: the caller passes the time of the
-// current event.
+// Package timers provides a queue of values that are due at later times (Queue), and
+// the time since which a condition holds (TrackSince), for use inside a reducer. It
+// reads no clock: the caller passes the time of the current event.
 package timers
 
 import (
