--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -43,12 +43,13 @@
 
 // Demand is a job that asks for admission.
 type Demand struct {
-	Priority  int
-	Work      Work
-	Chain     time.Duration // declared run time of the longest chain of dependent steps
-	Stretch   float64       // objective: Stretch times the chain, plus Slack
-	Slack     time.Duration
-	Worthless float64 // a job has no value to its caller after this many times its objective
+	Priority int
+	Work     Work
+	// CriticalPath is the declared run time of the longest chain of dependent steps.
+	CriticalPath    time.Duration
+	Stretch         float64 // objective: Stretch times the critical path, plus Slack
+	Slack           time.Duration
+	WorthlessFactor float64 // a job has no value to its caller after this many times its objective
 }
 
 // Limits are the bounds of a decision.
@@ -135,9 +136,9 @@
 	if total <= 0 {
 		return Decision{Reason: Unknown} // nothing runs, so that nothing is known of the room
 	}
-	out := Decision{Reason: InTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.Worthless)}
+	out := Decision{Reason: InTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.WorthlessFactor)}
 	wait := duration(out.Ahead, rate)
-	out.Completion = wait + max(scale(d.Chain, 1-estimateError), duration(d.Work, total*(1+estimateError)))
+	out.Completion = wait + max(scale(d.CriticalPath, 1-estimateError), duration(d.Work, total*(1+estimateError)))
 	switch {
 	case r.full(d.Priority, limits):
 		out.Reason = QueueFull
@@ -149,9 +150,9 @@
 	return out
 }
 
-// objective returns by when the job should be done, with its chain scaled by a factor.
+// objective returns by when the job should be done, with its critical path scaled by a factor.
 func (d *Demand) objective(factor float64) time.Duration {
-	return scale(d.Chain, d.Stretch*factor) + d.Slack
+	return scale(d.CriticalPath, d.Stretch*factor) + d.Slack
 }
 
 // ahead returns the waiting work that is certainly served before a new job: that of higher
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -13,7 +13,7 @@
 }
 
 func waitingJob(priority int) Demand {
-	return Demand{Priority: priority, Work: 20_000, Chain: 2 * time.Second, Stretch: 2, Slack: time.Second, Worthless: worthless}
+	return Demand{Priority: priority, Work: 20_000, CriticalPath: 2 * time.Second, Stretch: 2, Slack: time.Second, WorthlessFactor: worthless}
 }
 
 // TestDecide guards against refusals for which there is no sufficient reason.
--- a/core/admission/replay_test.go
+++ b/core/admission/replay_test.go
@@ -180,8 +180,8 @@
 
 func byEstimate(a *arrival, reports []Report, _ time.Duration) bool {
 	return Decide(Demand{
-		Priority: a.priority, Work: Work(1000 * a.declared.Seconds() * float64(a.tasks)), Chain: a.declared,
-		Stretch: replayStretch, Slack: replaySlack, Worthless: worthless,
+		Priority: a.priority, Work: Work(1000 * a.declared.Seconds() * float64(a.tasks)), CriticalPath: a.declared,
+		Stretch: replayStretch, Slack: replaySlack, WorthlessFactor: worthless,
 	}, reports, replayLimits).Refused()
 }
 
--- a/core/ordering/ordering.go
+++ b/core/ordering/ordering.go
@@ -23,9 +23,10 @@
 	Persistent bool          // it runs until it is cancelled
 	Age        time.Duration // since it was accepted
 	Objective  time.Duration // from its acceptance to the time by which it should be done
-	Chain      time.Duration // expected run time of the longest chain of its steps that is left
-	Work       float64       // expected work of its tasks that wait, in core-seconds
-	Value      float64       // to its caller if it is done within its objective
+	// CriticalPath is the expected run time of the longest chain of its steps that is left.
+	CriticalPath time.Duration
+	Work         float64 // expected work of its tasks that wait, in core-seconds
+	Value        float64 // to its caller if it is done within its objective
 }
 
 const (
@@ -56,26 +57,26 @@
 }
 
 const (
-	// lookaheadChains usual chains, and lookaheadWaits times the expected wait, are the
+	// lookaheadPaths usual critical paths, and lookaheadWaits times the expected wait, are the
 	// slack within which the urgency of a job falls by the factor e. With a shorter one the
 	// order nears that by slack, which is poor under a long overload; with a longer one that
 	// by value per work, which delays large jobs. Slack that is below the wait for room does
 	// not tell jobs apart.
-	lookaheadChains = 3
-	lookaheadWaits  = 2
+	lookaheadPaths = 3
+	lookaheadWaits = 2
 )
 
-// Lookahead returns the scale on which slack counts, from the longest chain of a usual job
+// Lookahead returns the scale on which slack counts, from the critical path of a usual job
 // and the time in which the work that waits is done.
-func Lookahead(usualChain, wait time.Duration) time.Duration {
-	return max(lookaheadChains*usualChain, lookaheadWaits*wait)
+func Lookahead(usualPath, wait time.Duration) time.Duration {
+	return max(lookaheadPaths*usualPath, lookaheadWaits*wait)
 }
 
 // RankOf returns the rank of a job.
 func RankOf(j Job, lookahead time.Duration) Rank {
 	r := Rank{priority: j.Priority}
-	onTime := j.Objective - j.Age - j.Chain
-	useful := WorthlessFactor*j.Objective - j.Age - j.Chain
+	onTime := j.Objective - j.Age - j.CriticalPath
+	useful := WorthlessFactor*j.Objective - j.Age - j.CriticalPath
 	switch {
 	case j.Persistent:
 		r.class, r.urgency = classPersistent, j.Age.Seconds()
@@ -114,9 +115,9 @@
 	return r
 }
 
-// Starves reports whether a job has had no run for so long that it is to be promoted. One
-// job of a priority is at a time, the one that has waited longest: otherwise a long
-// overload would end in the order of arrival, in which most jobs are late.
+// Starves reports whether a job has had no run for so long that it may be promoted. Of each
+// priority only the job that has waited longest is promoted: otherwise a long overload would
+// end in the order of arrival, in which most jobs are late.
 func Starves(j Job, idle time.Duration) bool {
 	return !j.Persistent && idle > max(starvationFactor*j.Objective, minStarvation)
 }
--- a/core/ordering/ordering_test.go
+++ b/core/ordering/ordering_test.go
@@ -8,7 +8,7 @@
 // TestClassesOfJobs guards against room for work that comes too late while other jobs can
 // still be done in time.
 func TestClassesOfJobs(t *testing.T) {
-	usual := Job{Objective: 10 * time.Second, Chain: 4 * time.Second, Work: 100, Value: 1}
+	usual := Job{Objective: 10 * time.Second, CriticalPath: 4 * time.Second, Work: 100, Value: 1}
 	with := func(change func(*Job)) Rank {
 		j := usual
 		change(&j)
--- a/core/ordering/replay_test.go
+++ b/core/ordering/replay_test.go
@@ -33,8 +33,8 @@
 	waitingWork float64 // in core-seconds, by declared run times
 }
 
-// chain returns the run time of the steps from one on, by a run time of each.
-func (j *replayedJob) chain(from int, runTime func(replayedStep) float64) float64 {
+// criticalPath returns the run time of the steps from one on, by a run time of each.
+func (j *replayedJob) criticalPath(from int, runTime func(replayedStep) float64) float64 {
 	sum := 0.0
 	for _, s := range j.steps[from:] {
 		sum += runTime(s)
@@ -45,8 +45,8 @@
 func declared(s replayedStep) float64 { return s.declared }
 func actual(s replayedStep) float64   { return s.actual }
 
-// objective returns the objective of a job with a chain of work, in seconds.
-func replayedObjective(chain float64) float64 { return 2*chain + 1 }
+// replayedObjective returns the objective of a job with a critical path, both in seconds.
+func replayedObjective(criticalPath float64) float64 { return 2*criticalPath + 1 }
 
 func (j *replayedJob) work(runTime func(replayedStep) float64) float64 {
 	sum := 0.0
@@ -63,8 +63,8 @@
 		work += float64(s.tasks) * s.declared
 	}
 	return Job{
-		Age: seconds(now - j.at), Objective: seconds(replayedObjective(j.chain(0, declared))),
-		Chain: seconds(j.chain(j.step, declared)), Work: work, Value: j.value,
+		Age: seconds(now - j.at), Objective: seconds(replayedObjective(j.criticalPath(0, declared))),
+		CriticalPath: seconds(j.criticalPath(j.step, declared)), Work: work, Value: j.value,
 	}
 }
 
@@ -74,7 +74,7 @@
 // of its actual work, a part up to WorthlessFactor times that.
 func (j *replayedJob) earned() float64 {
 	const lateShare = 0.15
-	took, objective := j.ended-j.at, replayedObjective(j.chain(0, actual))
+	took, objective := j.ended-j.at, replayedObjective(j.criticalPath(0, actual))
 	switch {
 	case took <= objective:
 		return j.value
@@ -188,7 +188,7 @@
 // byDeadline is the former order: jobs before their declared deadline, the earliest first,
 // then late ones.
 func byDeadline(a, b *replayedJob, now float64) int {
-	deadline := func(j *replayedJob) float64 { return j.at + replayedObjective(j.chain(0, declared)) }
+	deadline := func(j *replayedJob) float64 { return j.at + replayedObjective(j.criticalPath(0, declared)) }
 	late := func(j *replayedJob) int {
 		switch age := now - j.at; {
 		case now <= deadline(j):
@@ -209,18 +209,18 @@
 	}
 }
 
-func valueLeft(j Job) float64     { return -j.Value / max(j.Work, minWork) }
-func shortestChain(j Job) float64 { return j.Chain.Seconds() }
-func leastSlack(j Job) float64    { return (j.Objective - j.Age - j.Chain).Seconds() }
+func valueLeft(j Job) float64    { return -j.Value / max(j.Work, minWork) }
+func shortestPath(j Job) float64 { return j.CriticalPath.Seconds() }
+func leastSlack(j Job) float64   { return (j.Objective - j.Age - j.CriticalPath).Seconds() }
 
 func byUrgency(a, b *replayedJob, now float64) int {
-	lookahead := Lookahead(usualChain, seconds(a.load.waitingWork/replayedCores))
+	lookahead := Lookahead(usualPath, seconds(a.load.waitingWork/replayedCores))
 	return RankOf(a.describe(now), lookahead).Compare(RankOf(b.describe(now), lookahead))
 }
 
 const (
 	replayedCores  = 1000
-	usualChain     = 5 * time.Second // of wideJobs
+	usualPath      = 5 * time.Second // of wideJobs
 	replaySeconds  = 30
 	jobsPerSecond  = 9.0 // of wideJobs that take all replayedCores
 	replayedSeeds  = 3
@@ -245,7 +245,7 @@
 		jobs := wideJobs(seed, load*jobsPerSecond, replaySeconds)
 		last, owed := 0.0, 0.0
 		for _, j := range jobs {
-			last, owed = max(last, j.at+replayedObjective(j.chain(0, actual))), owed+j.value
+			last, owed = max(last, j.at+replayedObjective(j.criticalPath(0, actual))), owed+j.value
 		}
 		slices.SortFunc(jobs, func(a, b *replayedJob) int {
 			return cmp.Compare(b.value/b.work(actual), a.value/a.work(actual))
@@ -267,8 +267,8 @@
 	const leastGain = 0.05 // of the value that callers are owed
 	got := replayMean(overloadFactor, byUrgency)
 	former, naive := replayMean(overloadFactor, byDeadline), replayMean(overloadFactor, byArrival)
-	t.Logf("apparent urgency %.3f, deadlines %.3f, arrival %.3f, value left %.3f, shortest chain %.3f, least slack %.3f, bound %.3f",
-		got, former, naive, replayMean(overloadFactor, byKey(valueLeft)), replayMean(overloadFactor, byKey(shortestChain)),
+	t.Logf("apparent urgency %.3f, deadlines %.3f, arrival %.3f, value left %.3f, shortest critical path %.3f, least slack %.3f, bound %.3f",
+		got, former, naive, replayMean(overloadFactor, byKey(valueLeft)), replayMean(overloadFactor, byKey(shortestPath)),
 		replayMean(overloadFactor, byKey(leastSlack)), upperBound(overloadFactor))
 	if got < former+leastGain || got < naive+leastGain {
 		t.Errorf("callers get %.3f of the value, deadlines give %.3f and arrival %.3f", got, former, naive)
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -71,7 +71,7 @@
 
 // decideAdmission decides on a new job by the loads that the host knows.
 func (s *State) decideAdmission(job *structs.Job) admission.Decision {
-	demand, limits, applies := s.admissionOf(job)
+	demand, limits, applies := s.admissionInputs(job)
 	if !applies {
 		return admission.Decision{}
 	}
@@ -80,20 +80,20 @@
 	return admission.Decide(demand, s.admission.reports, limits)
 }
 
-// admissionOf returns what the decision on a new job depends on, without a random factor, and
+// admissionInputs returns what the decision on a new job depends on, without a random factor, and
 // gathers the reports. It reports whether a job like it may be refused at all.
-func (s *State) admissionOf(job *structs.Job) (demand admission.Demand, limits admission.Limits, applies bool) {
+func (s *State) admissionInputs(job *structs.Job) (demand admission.Demand, limits admission.Limits, applies bool) {
 	policy := s.config.policyOf(job)
-	mostUrgent, admits := s.config.admissionOf(policy)
-	if !admits || job.Repeat != nil || job.Persistent() || !s.storeQuiet() || !s.gatherReports(job, policy.Service) {
+	mostUrgent, mayRefuse := s.config.mayRefuse(policy)
+	if !mayRefuse || job.Repeat != nil || job.Persistent() || !s.storeQuiet() || !s.gatherReports(job, policy.Service) {
 		return demand, limits, false
 	}
-	chain := criticalPath(job.Steps)
-	if chain == 0 {
+	path := declaredCriticalPath(job.Steps)
+	if path == 0 {
 		return demand, limits, false // it declares no run times
 	}
 	demand = admission.Demand{
-		Priority: policy.Priority, Chain: chain, Stretch: policy.Stretch, Slack: policy.Slack, Worthless: ordering.WorthlessFactor,
+		Priority: policy.Priority, CriticalPath: path, Stretch: policy.Stretch, Slack: policy.Slack, WorthlessFactor: ordering.WorthlessFactor,
 	}
 	for i := range job.Steps {
 		demand.Work += declaredTaskWork(&job.Steps[i]) * admission.Work(job.Steps[i].Count)
@@ -104,20 +104,20 @@
 	}, true
 }
 
-// admissionOf reports whether jobs of a queue may be refused: it has a completion objective
-// and shares its service with a queue of another priority. It returns the most urgent
-// priority of the service.
-func (c *configState) admissionOf(policy *structs.Policy) (mostUrgent int, admits bool) {
+// mayRefuse reports whether jobs of a queue may be refused: it has a completion objective and
+// shares its service with a queue of another priority. It returns the most urgent priority of
+// the service.
+func (c *configState) mayRefuse(policy *structs.Policy) (mostUrgent int, refuses bool) {
 	mostUrgent = policy.Priority
 	for i := range c.current.Queues {
 		other := &c.current.Queues[i].Policy
 		if other.Service != policy.Service || other.Priority == policy.Priority {
 			continue
 		}
-		admits = policy.Stretch > 0 || policy.Slack > 0
+		refuses = policy.Stretch > 0 || policy.Slack > 0
 		mostUrgent = min(mostUrgent, other.Priority)
 	}
-	return mostUrgent, admits
+	return mostUrgent, refuses
 }
 
 // storeQuiet reports whether the host's calls to the store have succeeded for some time.
--- a/core/scheduler/bench_test.go
+++ b/core/scheduler/bench_test.go
@@ -99,7 +99,7 @@
 // declared deadline, as before core/ordering.
 func (l *leaderState) bySoftDeadline(now Instant) []*job {
 	deadline := func(j *job) Instant {
-		return j.submittedAt + objective(l.state.config.policyOf(&j.Job), criticalPath(j.Steps))
+		return j.submittedAt + objective(l.state.config.policyOf(&j.Job), declaredCriticalPath(j.Steps))
 	}
 	deadlines := make(map[*job]Instant)
 	var jobs []*job
--- a/core/scheduler/explain.go
+++ b/core/scheduler/explain.go
@@ -61,7 +61,7 @@
 
 // explainAdmission decides like decideAdmission, with the shortest time to a retry.
 func (s *State) explainAdmission(job *structs.Job, out *AdmissionExplanation) admission.Decision {
-	demand, limits, applies := s.admissionOf(job)
+	demand, limits, applies := s.admissionInputs(job)
 	if !applies {
 		return admission.Decision{}
 	}
@@ -145,7 +145,7 @@
 func (l *leaderState) placeInOrder(j *job) (before, waiting int) {
 	now := l.state.now
 	l.waitingJobs(now)
-	rank := ordering.RankOf(l.describeForOrder(j, now), l.order.usualChain())
+	rank := ordering.RankOf(l.describeForOrder(j, now), l.order.usualCriticalPath())
 	for _, o := range l.order.ranked {
 		if cmp.Or(o.rank.Compare(rank), strings.Compare(string(o.job.ID), string(j.ID))) < 0 {
 			before++
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -12,9 +12,9 @@
 // jobOrder holds what the order of waiting jobs depends on besides the jobs.
 type jobOrder struct {
 	works  map[string]*ordering.Mean // work of the admitted jobs, in core-seconds, by queue
-	chains ordering.Mean             // longest chains of the admitted finite jobs, in seconds
+	paths  ordering.Mean             // critical paths of the admitted finite jobs, in seconds
 	ranked []rankedJob               // reused by waitingJobs
-	ends   []time.Duration           // reused by longestExpectedChain
+	ends   []time.Duration           // reused by expectedPath
 }
 
 // rankedJob is a waiting job with its rank in one pass.
@@ -24,7 +24,7 @@
 	rank      ordering.Rank
 }
 
-// observeJob records the work and the chain of a job that is admitted.
+// observeJob records the work and the critical path of a job that is admitted.
 func (o *jobOrder) observeJob(j *job) {
 	if j.Persistent() {
 		return
@@ -38,7 +38,7 @@
 		o.works[j.Queue] = mean
 	}
 	mean.Observe(j.expectedWork())
-	o.chains.Observe(o.chain(j).Seconds())
+	o.paths.Observe(o.criticalPath(j).Seconds())
 }
 
 // meanWork returns the mean work of the jobs of a queue, in core-seconds.
@@ -49,9 +49,9 @@
 	return 0
 }
 
-// usualChain returns the mean of the longest chains of the jobs.
-func (o *jobOrder) usualChain() time.Duration {
-	return time.Duration(o.chains.Value() * float64(time.Second))
+// usualCriticalPath returns the mean of the critical paths of the jobs.
+func (o *jobOrder) usualCriticalPath() time.Duration {
+	return time.Duration(o.paths.Value() * float64(time.Second))
 }
 
 // waitingJobs returns the jobs with tasks that wait for a run, in the order in which they
@@ -65,7 +65,7 @@
 			work += ranked[i].described.Work
 		}
 	}
-	lookahead := ordering.Lookahead(l.order.usualChain(), l.timeForWork(work))
+	lookahead := ordering.Lookahead(l.order.usualCriticalPath(), l.timeForWork(work))
 	for i := range ranked {
 		ranked[i].rank = ordering.RankOf(ranked[i].described, lookahead)
 	}
@@ -137,8 +137,8 @@
 		age = time.Duration(-l.untilDueMS(j, occurrence)) * time.Millisecond
 	}
 	return ordering.Job{
-		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.chain(j)),
-		Chain: l.order.chainLeft(j, occurrence), Work: j.expectedWaitingWork(occurrence),
+		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.criticalPath(j)),
+		CriticalPath: l.order.criticalPathLeft(j, occurrence), Work: j.expectedWaitingWork(occurrence),
 		Value: ordering.Value(j.expectedWork(), l.order.meanWork(j.Queue)),
 	}
 }
@@ -164,28 +164,28 @@
 const maxObjective = 30 * 24 * time.Hour
 
 // objective returns the time from the acceptance of a job to that by which it should be
-// done, by the run time of its longest chain of steps.
-func objective(policy *structs.Policy, chain time.Duration) time.Duration {
-	return min(time.Duration(policy.Stretch*float64(min(chain, maxObjective))), maxObjective) + policy.Slack
+// done, by the run time of its critical path.
+func objective(policy *structs.Policy, path time.Duration) time.Duration {
+	return min(time.Duration(policy.Stretch*float64(min(path, maxObjective))), maxObjective) + policy.Slack
 }
 
-// chain returns the expected run time of the longest chain of dependent steps.
-func (o *jobOrder) chain(j *job) time.Duration {
-	return o.longestExpectedChain(j, func(int) bool { return true })
+// criticalPath returns the expected run time of the longest chain of dependent steps.
+func (o *jobOrder) criticalPath(j *job) time.Duration {
+	return o.expectedPath(j, func(int) bool { return true })
 }
 
-// chainLeft returns the expected run time of the longest chain of the steps of an occurrence
+// criticalPathLeft returns the expected run time of the longest chain of the steps of an occurrence
 // that have tasks that wait.
-func (o *jobOrder) chainLeft(j *job, occurrence int) time.Duration {
+func (o *jobOrder) criticalPathLeft(j *job, occurrence int) time.Duration {
 	waiting := j.waitingByStep[occurrence]
-	return o.longestExpectedChain(j, func(step int) bool { return waiting[step] > 0 })
+	return o.expectedPath(j, func(step int) bool { return waiting[step] > 0 })
 }
 
-// longestExpectedChain returns the expected run time of the longest chain of those steps that
+// expectedPath returns the expected run time of the longest chain of those steps that
 // a condition holds for.
-func (o *jobOrder) longestExpectedChain(j *job, counts func(step int) bool) time.Duration {
+func (o *jobOrder) expectedPath(j *job, counts func(step int) bool) time.Duration {
 	o.ends = slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
-	return longestChain(j.Steps, o.ends, func(step int) time.Duration {
+	return longestPath(j.Steps, o.ends, func(step int) time.Duration {
 		if !counts(step) {
 			return 0
 		}
@@ -193,14 +193,14 @@
 	})
 }
 
-// criticalPath returns the declared run time of the longest chain of dependent steps.
-func criticalPath(steps []structs.Step) time.Duration {
-	return longestChain(steps, make([]time.Duration, len(steps)), func(step int) time.Duration { return steps[step].Estimate })
+// declaredCriticalPath returns the declared run time of the longest chain of dependent steps.
+func declaredCriticalPath(steps []structs.Step) time.Duration {
+	return longestPath(steps, make([]time.Duration, len(steps)), func(step int) time.Duration { return steps[step].Estimate })
 }
 
-// longestChain returns the run time of the longest chain of dependent steps. It uses ends,
+// longestPath returns the run time of the longest chain of dependent steps. It uses ends,
 // which has an element for each step.
-func longestChain(steps []structs.Step, ends []time.Duration, runTime func(step int) time.Duration) time.Duration {
+func longestPath(steps []structs.Step, ends []time.Duration, runTime func(step int) time.Duration) time.Duration {
 	var longest time.Duration
 	for i := range steps {
 		ends[i] = 0
