--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -68,11 +68,11 @@
 
 // The reasons. The job is refused for the last two.
 const (
-	Unknown   Reason = iota // some report is missing, too old, or from a leader that is new
-	RoomFree                // there is free room
-	InTime                  // the job can be done while it has value to its caller
-	Worthless               // the job would be done too late to have any value
-	QueueFull               // as many tasks wait as a leader can hold
+	ReasonUnknown   Reason = iota // some report is missing, too old, or from a leader that is new
+	ReasonRoomFree                // there is free room
+	ReasonInTime                  // the job can be done while it has value to its caller
+	ReasonWorthless               // the job would be done too late to have any value
+	ReasonQueueFull               // as many tasks wait as a leader can hold
 )
 
 // Decision is the outcome for one job.
@@ -86,7 +86,7 @@
 }
 
 // Refused reports whether the job is refused.
-func (d Decision) Refused() bool { return d.Reason >= Worthless }
+func (d Decision) Refused() bool { return d.Reason >= ReasonWorthless }
 
 const (
 	// estimateError is how far a declared run time may be off, as a share of it.
@@ -105,12 +105,12 @@
 // is refused only if it would be worthless in every shard by an optimistic estimate, or
 // would not fit into any queue.
 func Decide(d Demand, reports []Report, limits Limits) Decision {
-	best := Decision{Reason: Unknown}
+	best := Decision{Reason: ReasonUnknown}
 	var oldest time.Duration
 	for i := range reports {
 		r := &reports[i]
 		if r.Age > limits.MaxAge || r.Age < -limits.MaxAge || r.Measured < limits.MinMeasured {
-			return Decision{Reason: Unknown}
+			return Decision{Reason: ReasonUnknown}
 		}
 		oldest = max(oldest, r.Age)
 		got := d.decideIn(r, &limits)
@@ -130,21 +130,21 @@
 // decideIn decides on a job in one shard. RetryAfter is not bounded yet.
 func (d *Demand) decideIn(r *Report, limits *Limits) Decision {
 	if r.RoomFree {
-		return Decision{Reason: RoomFree}
+		return Decision{Reason: ReasonRoomFree}
 	}
 	rate, total := r.rates(d.Priority)
 	if total <= 0 {
-		return Decision{Reason: Unknown} // nothing runs, so that nothing is known of the room
+		return Decision{Reason: ReasonUnknown} // nothing runs, so that nothing is known of the room
 	}
-	out := Decision{Reason: InTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.WorthlessFactor)}
+	out := Decision{Reason: ReasonInTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.WorthlessFactor)}
 	wait := duration(out.Ahead, rate)
 	out.Completion = wait + max(scale(d.CriticalPath, 1-estimateError), duration(d.Work, total*(1+estimateError)))
 	switch {
 	case r.full(d.Priority, limits):
-		out.Reason = QueueFull
+		out.Reason = ReasonQueueFull
 		out.RetryAfter = scale(wait, fullQueueRetry)
 	case out.Completion > out.Limit:
-		out.Reason = Worthless
+		out.Reason = ReasonWorthless
 		out.RetryAfter = out.Completion - d.objective(1)
 	}
 	return out
@@ -236,13 +236,13 @@
 // String returns the reason in logs.
 func (r Reason) String() string {
 	switch r {
-	case RoomFree:
+	case ReasonRoomFree:
 		return "there is free room"
-	case InTime:
+	case ReasonInTime:
 		return "it can be done in time"
-	case Worthless:
+	case ReasonWorthless:
 		return "it would be done too late"
-	case QueueFull:
+	case ReasonQueueFull:
 		return "the queue is full"
 	}
 	return "the load is not known"
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -23,21 +23,21 @@
 		change   func(*Report)
 		want     Reason
 	}{
-		"worthless":                {2, func(*Report) {}, Worthless},
-		"urgent":                   {0, func(*Report) {}, InTime},
-		"stale report":             {2, func(r *Report) { r.Age = 4 * time.Second }, Unknown},
-		"report of the future":     {2, func(r *Report) { r.Age = -time.Hour }, Unknown},
-		"new leader":               {2, func(r *Report) { r.Measured = time.Second }, Unknown},
-		"free room":                {2, func(r *Report) { r.RoomFree = true }, RoomFree},
-		"nothing runs":             {2, func(r *Report) { r.Classes = r.Classes[1:]; r.Classes[0].Rate, r.Classes[0].Running = 0, 0 }, Unknown},
-		"no task has ended yet":    {2, func(r *Report) { r.Classes[1].Rate = 0 }, Worthless},
-		"larger jobs wait":         {2, func(r *Report) { r.Classes[1].OnTime = BySize{9: 3_000_000} }, InTime},
-		"late jobs wait":           {2, func(r *Report) { r.Classes[1].OnTime = BySize{} }, InTime},
-		"half full queue":          {2, func(r *Report) { r.Classes[1].Tasks = 50_000 }, QueueFull},
-		"half full queue, urgent":  {0, func(r *Report) { r.Classes[1].Tasks = 50_000 }, InTime},
-		"full queue, urgent":       {0, func(r *Report) { r.Classes[1].Tasks = 100_000 }, QueueFull},
-		"higher priorities wait":   {2, func(r *Report) { r.Classes[0].Waiting, r.Classes[1].OnTime = 3_000_000, BySize{} }, Worthless},
-		"room of lower priorities": {1, func(r *Report) { r.Classes[1].OnTime = BySize{} }, InTime},
+		"worthless":                {2, func(*Report) {}, ReasonWorthless},
+		"urgent":                   {0, func(*Report) {}, ReasonInTime},
+		"stale report":             {2, func(r *Report) { r.Age = 4 * time.Second }, ReasonUnknown},
+		"report of the future":     {2, func(r *Report) { r.Age = -time.Hour }, ReasonUnknown},
+		"new leader":               {2, func(r *Report) { r.Measured = time.Second }, ReasonUnknown},
+		"free room":                {2, func(r *Report) { r.RoomFree = true }, ReasonRoomFree},
+		"nothing runs":             {2, func(r *Report) { r.Classes = r.Classes[1:]; r.Classes[0].Rate, r.Classes[0].Running = 0, 0 }, ReasonUnknown},
+		"no task has ended yet":    {2, func(r *Report) { r.Classes[1].Rate = 0 }, ReasonWorthless},
+		"larger jobs wait":         {2, func(r *Report) { r.Classes[1].OnTime = BySize{9: 3_000_000} }, ReasonInTime},
+		"late jobs wait":           {2, func(r *Report) { r.Classes[1].OnTime = BySize{} }, ReasonInTime},
+		"half full queue":          {2, func(r *Report) { r.Classes[1].Tasks = 50_000 }, ReasonQueueFull},
+		"half full queue, urgent":  {0, func(r *Report) { r.Classes[1].Tasks = 50_000 }, ReasonInTime},
+		"full queue, urgent":       {0, func(r *Report) { r.Classes[1].Tasks = 100_000 }, ReasonQueueFull},
+		"higher priorities wait":   {2, func(r *Report) { r.Classes[0].Waiting, r.Classes[1].OnTime = 3_000_000, BySize{} }, ReasonWorthless},
+		"room of lower priorities": {1, func(r *Report) { r.Classes[1].OnTime = BySize{} }, ReasonInTime},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := overloaded()
