--- a/core/scheduler/admission_test.go
+++ b/core/scheduler/admission_test.go
@@ -31,13 +31,13 @@
 		sim.submitAndWait(sim.hosts[0], fmt.Sprintf("%016x", i), singleStepJob(8, time.Second, 1000))
 		sim.advance(time.Second)
 	}
-	sim.submitMany(0x1000, 100)
+	sim.submitSmallJobs(0x1000, 100)
 	sim.advance(time.Second)
 	return sim
 }
 
-// submitMany submits jobs of eight core-seconds at host 0.
-func (sim *simulation) submitMany(first, jobs int) {
+// submitSmallJobs submits jobs of eight core-seconds at host 0.
+func (sim *simulation) submitSmallJobs(first, jobs int) {
 	for i := range jobs {
 		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", first+i), singleStepJob(8, time.Second, 1000))
 	}
@@ -46,18 +46,18 @@
 // wideJob is worth nothing once the small ones before it are done.
 func wideJob() structs.Job { return singleStepJob(32, time.Second, 1000) }
 
-// answerOf submits a job and returns the answer.
-func (sim *simulation) answerOf(h *fakeHost, id string, job structs.Job) Answer {
+// submitForAnswer submits a job and returns the answer.
+func (sim *simulation) submitForAnswer(h *fakeHost, id string, job structs.Job) Answer {
 	req := sim.submit(h, id, job)
 	sim.advance(200 * time.Millisecond)
 	return sim.answers[req]
 }
 
-// TestHopelessJobIsRefused guards against jobs that wait until they are worthless, against a
+// TestWorthlessJobIsRefused guards against jobs that wait until they are worthless, against a
 // refused job that runs, and against the refusal of urgent, persistent, repeated or small jobs.
-func TestHopelessJobIsRefused(t *testing.T) {
+func TestWorthlessJobIsRefused(t *testing.T) {
 	sim := newOverload(t, 2)
-	got := sim.answerOf(sim.hosts[1], jobA, wideJob())
+	got := sim.submitForAnswer(sim.hosts[1], jobA, wideJob())
 	if got.Status != AnswerNotRun || got.RetryAfter < minRefusalRetry || got.RetryAfter > 2*maxRefusalRetry {
 		t.Fatalf("answer %+v, want not run with a delay", got)
 	}
@@ -70,7 +70,7 @@
 	persistent.Steps[0].Persistent = true
 	repeated.Repeat = &structs.Repeat{Count: 1, FirstMS: sim.wall() + 60_000}
 	for id, job := range map[string]structs.Job{jobB: persistent, "00000000000000cc": repeated, "00000000000000dd": singleStepJob(1, time.Second, 1000)} {
-		if got := sim.answerOf(sim.hosts[1], id, job); got.Status != AnswerOK {
+		if got := sim.submitForAnswer(sim.hosts[1], id, job); got.Status != AnswerOK {
 			t.Errorf("job %s: %+v, want ok", id, got)
 		}
 	}
@@ -93,10 +93,10 @@
 	sim := newSimulation(t, 2, 1)
 	sim.store.set(TableOperator, KeyConfiguration, admissionQueues())
 	sim.waitForLeader()
-	sim.submitMany(0, 1)
+	sim.submitSmallJobs(0, 1)
 	sim.advance(rateWarmUp + time.Second)
 	sim.submitAndWait(sim.hosts[0], jobA, wideJob())
-	sim.submitMany(0x1000, 100)
+	sim.submitSmallJobs(0x1000, 100)
 	sim.advance(time.Second)
 	// Both are decided by the same loads.
 	newJob, again := sim.submit(sim.hosts[1], jobB, wideJob()), sim.submit(sim.hosts[1], jobA, wideJob())
@@ -149,7 +149,7 @@
 				sim.hosts[0], sim.hosts[1] = sim.hosts[1], sim.hosts[0]
 			}
 			disturb(sim, leader)
-			if got := sim.answerOf(sim.hosts[1], jobA, wideJob()); got.Status != AnswerOK {
+			if got := sim.submitForAnswer(sim.hosts[1], jobA, wideJob()); got.Status != AnswerOK {
 				t.Errorf("answer %+v, want ok", got)
 			}
 		})
@@ -176,7 +176,7 @@
 	sim := newSimulation(t, 2, 1)
 	sim.store.set(TableOperator, KeyConfiguration, admissionQueues())
 	sim.waitForLeader()
-	sim.submitMany(0, 1)
+	sim.submitSmallJobs(0, 1)
 	sim.advance(rateWarmUp + time.Second)
 	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
 		if row, ok := e.Writes[0].Value.(JobRow); ok && row.ID == jobA {
@@ -185,10 +185,10 @@
 		return commitAnswered
 	}
 	sim.submit(sim.hosts[1], jobA, wideJob())
-	sim.submitMany(0x1000, 100)
+	sim.submitSmallJobs(0x1000, 100)
 	sim.advance(commitTimeout - 250*time.Millisecond)
 	again := sim.submit(sim.hosts[1], jobA, wideJob())
-	if got := sim.answerOf(sim.hosts[1], jobB, wideJob()); got.Status != AnswerNotRun {
+	if got := sim.submitForAnswer(sim.hosts[1], jobB, wideJob()); got.Status != AnswerNotRun {
 		t.Fatalf("answer %+v to a new job, want not run", got)
 	}
 	sim.advance(5 * time.Second)
--- a/core/scheduler/effect.go
+++ b/core/scheduler/effect.go
@@ -147,8 +147,8 @@
 // SetReady tells the balancer whether the host takes new connections.
 type SetReady struct{ Ready bool }
 
-// ReportEvacuations tells the metrics how far evacuations are. It is sent when a number changes.
-type ReportEvacuations struct {
+// EvacuationReport tells the metrics how far evacuations are. It is sent when a number changes.
+type EvacuationReport struct {
 	Zones    int // evacuated zones
 	RunsLeft int // runs there on the workers of the shards that the host leads
 }
@@ -174,18 +174,18 @@
 // StopProcess ends the process: the planned stop is complete.
 type StopProcess struct{}
 
-func (Commit) isEffect()            {}
-func (ReadRows) isEffect()          {}
-func (WatchRows) isEffect()         {}
-func (SyncWorker) isEffect()        {}
-func (StartTask) isEffect()         {}
-func (StopTask) isEffect()          {}
-func (ThrottleTask) isEffect()      {}
-func (AskAdvice) isEffect()         {}
-func (Answer) isEffect()            {}
-func (Explained) isEffect()         {}
-func (SetReady) isEffect()          {}
-func (Decision) isEffect()          {}
-func (ShardReport) isEffect()       {}
-func (StopProcess) isEffect()       {}
-func (ReportEvacuations) isEffect() {}
+func (Commit) isEffect()           {}
+func (ReadRows) isEffect()         {}
+func (WatchRows) isEffect()        {}
+func (SyncWorker) isEffect()       {}
+func (StartTask) isEffect()        {}
+func (StopTask) isEffect()         {}
+func (ThrottleTask) isEffect()     {}
+func (AskAdvice) isEffect()        {}
+func (Answer) isEffect()           {}
+func (Explained) isEffect()        {}
+func (SetReady) isEffect()         {}
+func (Decision) isEffect()         {}
+func (ShardReport) isEffect()      {}
+func (StopProcess) isEffect()      {}
+func (EvacuationReport) isEffect() {}
--- a/core/scheduler/evacuation.go
+++ b/core/scheduler/evacuation.go
@@ -58,7 +58,7 @@
 
 // reportEvacuations tells the metrics how far evacuations are, if that has changed.
 func (s *State) reportEvacuations() {
-	now := ReportEvacuations{}
+	now := EvacuationReport{}
 	for zone := range s.evacuations {
 		if zone != "" {
 			now.Zones++
--- a/core/scheduler/evacuation_test.go
+++ b/core/scheduler/evacuation_test.go
@@ -9,15 +9,16 @@
 	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
-// evacuate requests the evacuation of a zone, or ends it.
-func (sim *simulation) evacuate(zone string, on bool) {
-	if !on {
-		sim.store.set(TableOperator, evacuationKeyPrefix+zone, nil)
-		return
-	}
+// evacuate requests the evacuation of a zone.
+func (sim *simulation) evacuate(zone string) {
 	sim.store.set(TableOperator, evacuationKeyPrefix+zone, EvacuationRow{})
 }
 
+// endEvacuation removes the request to evacuate a zone.
+func (sim *simulation) endEvacuation(zone string) {
+	sim.store.set(TableOperator, evacuationKeyPrefix+zone, nil)
+}
+
 // startsIn returns how many starts the workers of a zone have carried out.
 func (sim *simulation) startsIn(zone string) int {
 	n := 0
@@ -29,8 +30,8 @@
 	return n
 }
 
-// logged returns how many decision lines contain a text.
-func (sim *simulation) logged(text string) int {
+// countDecisions returns how many decision lines contain a text.
+func (sim *simulation) countDecisions(text string) int {
 	n := 0
 	for _, d := range sim.decisions {
 		if strings.Contains(d, text) {
@@ -66,12 +67,12 @@
 		t.Errorf("%d starts in the evacuated zone and %d in the other one, want 0 and 20", got, all)
 	}
 	sim.store.discardedUntil = sim.store.version + 100
-	sim.evacuate("z0", false)
+	sim.endEvacuation("z0")
 	sim.advance(2 * time.Second)
 	sim.store.discardedUntil = 0
 	sim.submitShort(sim.leader(), 200, 10)
 	sim.advance(2 * time.Second)
-	if got := sim.startsIn("z0"); got == 0 || sim.logged("evacuation ended z0") == 0 {
+	if got := sim.startsIn("z0"); got == 0 || sim.countDecisions("evacuation ended z0") == 0 {
 		t.Errorf("%d starts after the end of the evacuation", got)
 	}
 }
@@ -84,18 +85,18 @@
 		f.zone = ""
 		f.writeEntry(false)
 	}
-	sim.evacuate("", true)
-	sim.evacuate("nowhere", true)
+	sim.evacuate("")
+	sim.evacuate("nowhere")
 	sim.waitForLeader()
 	sim.submitShort(sim.hosts[0], 1, 4)
 	for range 3 {
-		sim.evacuate("nowhere", true)
+		sim.evacuate("nowhere")
 		sim.advance(time.Second)
 	}
 	if got := sim.startsIn(""); got != 4 {
 		t.Errorf("%d starts, want 4", got)
 	}
-	if got := sim.logged("unknown zone evacuated nowhere"); got != 1 {
+	if got := sim.countDecisions("unknown zone evacuated nowhere"); got != 1 {
 		t.Errorf("the zone without workers is logged %d times, want once", got)
 	}
 }
@@ -107,7 +108,7 @@
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	before := l.load().Services[serviceName]
-	sim.evacuate("z0", true)
+	sim.evacuate("z0")
 	sim.advance(time.Second)
 	after := l.load().Services[serviceName]
 	if after.FreeMilliCores != before.FreeMilliCores/2 || after.Free[0] != before.Free[0]/2 {
@@ -125,12 +126,12 @@
 			sim.waitForLeader()
 			sim.store.cutTable = table
 			sim.workers["w00"].writeEntry(true)
-			sim.evacuate(sim.workers["w00"].zone, true)
+			sim.evacuate(sim.workers["w00"].zone)
 			for i := range 16 {
 				sim.submitShort(sim.hosts[0], 1+i, 1)
 				sim.advance(500 * time.Millisecond)
 			}
-			if sim.logged("starts pause") == 0 {
+			if sim.countDecisions("starts pause") == 0 {
 				t.Error("starts do not pause")
 			}
 			sim.store.cutTable = 0
--- a/core/scheduler/explain_test.go
+++ b/core/scheduler/explain_test.go
@@ -55,7 +55,7 @@
 		"too few workers": {nil, spread, VerdictWaits, "the gang finds no room at once", ""},
 		"full":            {fill, large, VerdictWaits, "has no room", "has no room"},
 		"gang that waits": {fill, gang, VerdictWaits, "has no room", "has no room"},
-		"evacuated": {func(sim *simulation) { sim.evacuate("z0", true); sim.evacuate("z1", true); sim.advance(time.Second) },
+		"evacuated": {func(sim *simulation) { sim.evacuate("z0"); sim.evacuate("z1"); sim.advance(time.Second) },
 			small, VerdictWaits, "evacuated", "is in an evacuated zone"},
 		"draining": {func(sim *simulation) {
 			for _, f := range sim.workers {
--- a/core/scheduler/hold_test.go
+++ b/core/scheduler/hold_test.go
@@ -38,17 +38,7 @@
 // counts as not there for all tasks that request as much.
 func TestKeptRoomIsUsedByItsJob(t *testing.T) {
 	sim := newSimulation(t, 1, 4)
-	urgent := structs.Policy{Service: serviceName, Attempts: 3, Stretch: 2, Slack: time.Second}
-	other := urgent
-	other.Priority = 1
-	sim.store.set(TableOperator, KeyConfiguration, ConfigurationRow{structs.QueueConfiguration{
-		Number: 2, Queues: []structs.Queue{
-			{Name: queueName, Host: "h", PathPrefix: "/q/", Policy: urgent},
-			{Name: advisedQueueName, Host: "h", PathPrefix: "/a/", Policy: other},
-		},
-	}})
-	sim.waitForLeader()
-	sim.advance(time.Second)
+	sim.configurePriorities()
 	for i := range 60 { // 15 s of work
 		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", 0x1000+i), singleStepJob(1, time.Second, 7000))
 	}
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -55,8 +55,8 @@
 		r.serving = &colocation.Serving{Image: r.image, TargetMS: float64(r.step.TailTarget.Milliseconds()), Load: r.job.stepLoad(r.ref)}
 		w.colocated.AddServing(r.serving)
 	case r.step.BestEffort:
-		r.filling = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
-		w.colocated.AddBestEffort(r.filling)
+		r.bestEffort = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
+		w.colocated.AddBestEffort(r.bestEffort)
 		w.bestEffort = append(w.bestEffort, r)
 	}
 }
@@ -75,10 +75,10 @@
 	switch {
 	case r.serving != nil:
 		r.serving.TailMS, r.serving.Running, r.serving.Ready = float64(r.gauge), r.phase == phaseRunning, r.readySince > 0
-	case r.filling != nil:
-		r.filling.Used, r.filling.Stopping = r.gauge, r.phase == phaseStopping
-		r.filling.Worked = r.workedAtFullSpeed(r.worker.leader.state.now)
-		r.filling.Remaining = r.remainingAfter(r.filling.Worked)
+	case r.bestEffort != nil:
+		r.bestEffort.Used, r.bestEffort.Stopping = r.gauge, r.phase == phaseStopping
+		r.bestEffort.Worked = r.workedAtFullSpeed(r.worker.leader.state.now)
+		r.bestEffort.Remaining = r.remainingAfter(r.bestEffort.Worked)
 	}
 }
 
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -271,27 +271,7 @@
 		return
 	}
 	j.admitted, j.admittedAt, j.waitingSince = true, l.state.now, l.state.now
-	p, stored := l.loadedProgress[j.ID]
-	switch {
-	case stored && p.Move == j.Moves:
-		j.restore(p)
-		j.markGroupsOfFirstRow()
-	case j.Moved != nil:
-		j.restore(j.Moved.Progress)
-		j.storedState = "" // in this shard
-		j.markGroupsOfFirstRow()
-	}
-	j.Move = j.Moves
-	if j.Moved != nil {
-		for i := range j.tasks {
-			j.tasks[i].lastRun = max(j.tasks[i].lastRun, j.Moved.FirstRun-1)
-		}
-	}
-	groups := l.loadedGroups[j.ID]
-	for _, key := range slices.Sorted(maps.Keys(groups)) {
-		j.restoreGroup(key, groups[key])
-	}
-	delete(l.loadedGroups, j.ID)
+	l.restoreProgress(j)
 	j.inherited = j.ClaimEpoch > 0
 	if j.State.Final() {
 		j.finalAt = l.state.now
@@ -317,6 +297,32 @@
 	l.schedule.requestPass()
 }
 
+// restoreProgress restores what is stored of the progress of a job: in this shard, or with the
+// job when it moved here.
+func (l *leaderState) restoreProgress(j *job) {
+	p, stored := l.loadedProgress[j.ID]
+	switch {
+	case stored && p.Move == j.Moves:
+		j.restore(p)
+		j.markGroupsOfFirstRow()
+	case j.Moved != nil:
+		j.restore(j.Moved.Progress)
+		j.storedState = "" // in this shard
+		j.markGroupsOfFirstRow()
+	}
+	j.Move = j.Moves
+	if j.Moved != nil {
+		for i := range j.tasks {
+			j.tasks[i].lastRun = max(j.tasks[i].lastRun, j.Moved.FirstRun-1)
+		}
+	}
+	groups := l.loadedGroups[j.ID]
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		j.restoreGroup(key, groups[key])
+	}
+	delete(l.loadedGroups, j.ID)
+}
+
 // runsPerEpoch is the size of the range of run numbers of each leader for one task,
 // so that successive leaders use different numbers.
 const runsPerEpoch = 1000
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -225,7 +225,7 @@
 	switch {
 	case r.serving != nil:
 		return int64(r.serving.Load.CPUShare() * float64(request))
-	case r.filling != nil && r.speedLimit == fullSpeed && now-max(r.confirmedAt, r.speedLimitSetAt) >= gaugeSettleTime && r.gauge > 0:
+	case r.bestEffort != nil && r.speedLimit == fullSpeed && now-max(r.confirmedAt, r.speedLimitSetAt) >= gaugeSettleTime && r.gauge > 0:
 		return min(r.gauge, request)
 	}
 	return request
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -54,9 +54,9 @@
 	speedLimit       int           // percent, as last sent
 	throttleInFlight bool
 
-	image   colocation.ImageID
-	serving *colocation.Serving    // nil: it has no target for its tail latency
-	filling *colocation.BestEffort // nil: it is not a best-effort task
+	image      colocation.ImageID
+	serving    *colocation.Serving    // nil: it has no target for its tail latency
+	bestEffort *colocation.BestEffort // nil: it is not a best-effort task
 }
 
 type runKey struct {
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -29,7 +29,7 @@
 	// evacuations are the evacuated zones, by name.
 	evacuations map[string]*evacuation
 	// reportedEvacuations is what the metrics were told last.
-	reportedEvacuations ReportEvacuations
+	reportedEvacuations EvacuationReport
 	requests            requestState
 	shards              shardView
 	admission           admissionState
--- a/core/scheduler/storeoutage_test.go
+++ b/core/scheduler/storeoutage_test.go
@@ -12,8 +12,8 @@
 	return sim.answers[req]
 }
 
-// jobCommits makes commits of job rows end in an outcome.
-func (sim *simulation) jobCommits(outcome int) {
+// setJobCommitOutcome makes commits of job rows end in an outcome.
+func (sim *simulation) setJobCommitOutcome(outcome int) {
 	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
 		if e.Writes[0].Table == TableJobs {
 			return outcome
@@ -40,7 +40,7 @@
 func TestLostAnswerIsConfirmedByRow(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitUnanswered)
+	sim.setJobCommitOutcome(commitUnanswered)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	if a := sim.awaitAnswer(req, 2*confirmInterval); a.Status != AnswerOK {
 		t.Errorf("answer %+v, want status %v", a, AnswerOK)
@@ -52,7 +52,7 @@
 func TestLateCommitIsNotRefused(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitLate)
+	sim.setJobCommitOutcome(commitLate)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	if a := sim.awaitAnswer(req, 3*time.Second); a.Status != AnswerUnknown {
 		t.Errorf("answer %+v, want status %v", a, AnswerUnknown)
@@ -91,7 +91,7 @@
 func TestRequestsAreAnsweredBeforeStop(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitLate)
+	sim.setJobCommitOutcome(commitLate)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	state := sim.hosts[0].state
 	state.requests.open[req].deadline += time.Minute // a caller with much time
--- a/core/scheduler/workers.go
+++ b/core/scheduler/workers.go
@@ -183,7 +183,7 @@
 	r.job.activeRuns--
 	r.job.lastRunEndedAt = w.leader.state.now
 	w.bestEffort = slices.DeleteFunc(w.bestEffort, func(o *run) bool { return o == r })
-	w.colocated.Remove(r.serving, r.filling)
+	w.colocated.Remove(r.serving, r.bestEffort)
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/core/scheduler/zonemoves_test.go
+++ b/core/scheduler/zonemoves_test.go
@@ -42,8 +42,8 @@
 	if sim.runsIn("z0", jobA) < 3 || sim.runsIn("z0", jobB) == 0 {
 		t.Fatal("no runs in the zone")
 	}
-	sim.evacuate("z0", true)
-	sim.waitFor(3*time.Second, "the first move", func() bool { return sim.logged("the zone is evacuated") > 0 })
+	sim.evacuate("z0")
+	sim.waitFor(3*time.Second, "the first move", func() bool { return sim.countDecisions("the zone is evacuated") > 0 })
 	former := sim.leader()
 	former.kill()
 	for sim.runsIn("z0", jobA) > 0 || sim.runningTasks(jobA) < 6 {
@@ -56,12 +56,12 @@
 		sim.advance(10 * time.Millisecond)
 	}
 	sim.waitFor(15*time.Second, "completion", func() bool { return sim.jobState(jobB) == structs.JobCompleted })
-	sim.waitFor(time.Second, "the empty zone", func() bool { return sim.logged("zone empty z0") > 0 })
+	sim.waitFor(time.Second, "the empty zone", func() bool { return sim.countDecisions("zone empty z0") > 0 })
 	row := sim.leader().state.leaderOf(0).load()
 	if left, known := row.Evacuating["z0"]; !known || left != 0 {
 		t.Errorf("the load tells %v", row.Evacuating)
 	}
-	if want := (ReportEvacuations{Zones: 1}); sim.leader().state.reportedEvacuations != want {
+	if want := (EvacuationReport{Zones: 1}); sim.leader().state.reportedEvacuations != want {
 		t.Errorf("the metrics tell %+v", sim.leader().state.reportedEvacuations)
 	}
 	starts := 0
@@ -91,9 +91,9 @@
 				sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(6, 30*time.Second, 1000))
 				sim.waitFor(time.Second, "the finite runs", func() bool { return sim.runningTasks(jobB) == 6 })
 			}
-			sim.evacuate("z0", true)
+			sim.evacuate("z0")
 			sim.advance(5 * time.Second)
-			if got := sim.runsIn("z0", jobA); got != before || got == 0 || sim.logged("the zone is evacuated") > 0 {
+			if got := sim.runsIn("z0", jobA); got != before || got == 0 || sim.countDecisions("the zone is evacuated") > 0 {
 				t.Errorf("%d tasks are in the zone, want %d", got, before)
 			}
 		})
--- a/entry/internal/platformhost/host.go
+++ b/entry/internal/platformhost/host.go
@@ -74,7 +74,7 @@
 	explainer   *explainHandler
 	shardGauges *shardGauges
 	ready       atomic.Bool
-	// Of the last ReportEvacuations.
+	// Of the last EvacuationReport.
 	evacuatedZones, evacuatedRuns atomic.Int64
 	stopped                       chan struct{} // closed when the planned stop is complete
 }
@@ -180,7 +180,7 @@
 		h.explainer.pending.deliver(e.Request, e)
 	case scheduler.SetReady:
 		h.ready.Store(e.Ready)
-	case scheduler.ReportEvacuations:
+	case scheduler.EvacuationReport:
 		h.evacuatedZones.Store(int64(e.Zones))
 		h.evacuatedRuns.Store(int64(e.RunsLeft))
 	case scheduler.Decision:
