--- a/core/admission/replay_test.go
+++ b/core/admission/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -22,11 +23,12 @@
 }
 
 const (
-	replayCores   = 40
-	replayStep    = 20 * time.Millisecond
-	replayStretch = 2.0
-	replaySlack   = time.Second
-	worthless     = 3
+	replayCores      = 40
+	replayPriorities = 3
+	replayStep       = 20 * time.Millisecond
+	replayStretch    = 2.0
+	replaySlack      = time.Second
+	worthless        = 3
 )
 
 func (a *arrival) objective() time.Duration {
@@ -82,7 +84,7 @@
 func load(seed uint64, length time.Duration, shares map[int]float64) []*arrival {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var out []*arrival
-	for priority := range 3 {
+	for priority := range replayPriorities {
 		work := 0.0
 		for at := time.Duration(0); at < length; at += replayStep {
 			for work += shares[priority] * replayCores * replayStep.Seconds(); work > 0; {
@@ -96,76 +98,41 @@
 	return out
 }
 
+// replayState is the state of a replay.
+type replayState struct {
+	first    order
+	running  []runningTask
+	open     []*arrival // accepted jobs that are not done
+	meters   [replayPriorities]Meter
+	report   Report
+	reportAt time.Duration
+}
+
+// runningTask is a task that runs on a core until its end.
+type runningTask struct {
+	end time.Duration
+	job *arrival
+}
+
 // replay serves arrivals in order of rank on single cores. Reports are up to half a second
 // old. It returns the jobs' value.
 func replay(arrivals []*arrival, first order, refuse func(*arrival, []Report, time.Duration) bool) float64 {
-	type end struct {
-		at  time.Duration
-		job *arrival
-	}
-	var running []end
-	var open []*arrival
-	var report Report
-	var reportAt time.Duration
-	meters := map[int]*Meter{0: {}, 1: {}, 2: {}}
+	r := replayState{first: first}
 	for now := time.Duration(0); now < 3*time.Minute; now += replayStep {
-		still := running[:0]
-		for _, e := range running {
-			if e.at > now {
-				still = append(still, e)
-				continue
-			}
-			meters[e.job.priority].Add(Work(1000*e.job.declared.Seconds()), now)
-			if e.job.running--; e.job.running+e.job.left == 0 {
-				e.job.doneAt = now
-			}
-		}
-		running = still
+		r.endTasks(now)
 		if now%(500*time.Millisecond) == 0 {
-			report, reportAt = Report{Measured: now, RoomFree: len(running) < replayCores}, now
-			for priority := range 3 {
-				c := Class{Priority: priority, Rate: meters[priority].Rate(now)}
-				for _, a := range open {
-					if a.priority == priority {
-						w := a.workLeft()
-						c.Waiting, c.Tasks, c.Running = c.Waiting+w, c.Tasks+a.left, c.Running+int64(1000*a.running)
-						if a.class(now) == 0 {
-							c.OnTime[SizeOf(w)] += w
-						}
-					}
-				}
-				report.Classes = append(report.Classes, c)
-			}
+			r.writeReport(now)
 		}
 		for _, a := range arrivals {
 			if a.at == now {
-				report.Age = now - reportAt
-				if a.refused = refuse(a, []Report{report}, now); !a.refused {
-					open = append(open, a)
+				r.report.Age = now - r.reportAt
+				if a.refused = refuse(a, []Report{r.report}, now); !a.refused {
+					r.open = append(r.open, a)
 				}
 			}
 		}
-		for len(running) < replayCores {
-			var next *arrival
-			for _, a := range open {
-				if a.left > 0 && (next == nil || a.before(next, now, first)) {
-					next = a
-				}
-			}
-			if next == nil {
-				break
-			}
-			next.left--
-			next.running++
-			running = append(running, end{now + next.true, next})
-		}
-		for i := 0; i < len(open); i++ {
-			if open[i].doneAt > 0 {
-				open[i] = open[len(open)-1]
-				open = open[:len(open)-1]
-				i--
-			}
-		}
+		r.startTasks(now)
+		r.open = slices.DeleteFunc(r.open, func(a *arrival) bool { return a.doneAt > 0 })
 	}
 	value := 0.0
 	for _, a := range arrivals {
@@ -174,6 +141,57 @@
 	return value
 }
 
+// endTasks ends the tasks whose run time is over.
+func (r *replayState) endTasks(now time.Duration) {
+	r.running = slices.DeleteFunc(r.running, func(t runningTask) bool {
+		if t.end > now {
+			return false
+		}
+		r.meters[t.job.priority].Add(Work(1000*t.job.declared.Seconds()), now)
+		if t.job.running--; t.job.running+t.job.left == 0 {
+			t.job.doneAt = now
+		}
+		return true
+	})
+}
+
+// writeReport replaces the report by the present load.
+func (r *replayState) writeReport(now time.Duration) {
+	r.report, r.reportAt = Report{Measured: now, RoomFree: len(r.running) < replayCores}, now
+	for priority := range r.meters {
+		c := Class{Priority: priority, Rate: r.meters[priority].Rate(now)}
+		for _, a := range r.open {
+			if a.priority != priority {
+				continue
+			}
+			w := a.workLeft()
+			c.Waiting, c.Tasks, c.Running = c.Waiting+w, c.Tasks+a.left, c.Running+int64(1000*a.running)
+			if a.class(now) == 0 {
+				c.OnTime[SizeOf(w)] += w
+			}
+		}
+		r.report.Classes = append(r.report.Classes, c)
+	}
+}
+
+// startTasks starts tasks on the free cores.
+func (r *replayState) startTasks(now time.Duration) {
+	for len(r.running) < replayCores {
+		var next *arrival
+		for _, a := range r.open {
+			if a.left > 0 && (next == nil || a.before(next, now, r.first)) {
+				next = a
+			}
+		}
+		if next == nil {
+			return
+		}
+		next.left--
+		next.running++
+		r.running = append(r.running, runningTask{now + next.true, next})
+	}
+}
+
 var replayLimits = Limits{MaxAge: 3 * time.Second, MinMeasured: 6 * time.Second, MaxTasks: 100_000, MinRetry: time.Second, MaxRetry: 30 * time.Second}
 
 func never(*arrival, []Report, time.Duration) bool { return false }
--- a/core/colocation/replay_test.go
+++ b/core/colocation/replay_test.go
@@ -71,7 +71,7 @@
 	pause:   3 * time.Second,
 }
 
-// movesFirst are the decisions before tasks were paced: the present load admits a start,
+// movesFirst are the decisions before tasks were throttled: the present load admits a start,
 // all pairs have one prior, and any excess moves the task that contends most.
 var movesFirst = decisions{
 	admits: func(w *Worker, image ImageID) (bool, float64) {
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -45,7 +45,7 @@
 	activeRuns         int     // number of runs that occupy workers
 	lastRunEndedAt     Instant // when the last run ended
 	roomKeptUntil      Instant // until when room is kept for it on a worker
-	displacedAt        Instant // when one of its runs last gave way to more urgent work; 0: never
+	preemptedAt        Instant // when one of its runs last gave way to more urgent work; 0: never
 	preemptionRetryAt  Instant // no search for runs that give way to it before this time
 
 	loads []*colocation.Load // of serving steps, by occurrence and step
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -25,7 +25,7 @@
 	case now-j.waitingSince < preemption.Delay:
 		l.schedule.requestPassAt(j.waitingSince + preemption.Delay)
 		return
-	case j.displacedAt > 0 && now-j.displacedAt < preemption.Cooldown:
+	case j.preemptedAt > 0 && now-j.preemptedAt < preemption.Cooldown:
 		return
 	}
 	j.preemptionRetryAt = now + preemptionInterval
@@ -42,7 +42,7 @@
 	w := l.workers[l.workerIDs[plan.Worker]]
 	for _, id := range plan.Runs {
 		r := runs[id]
-		r.job.displacedAt = now
+		r.job.preemptedAt = now
 		l.moveRun(r, "gives way to more urgent work")
 	}
 	w.keepRoom(keptRoom{job: j, need: task.Need, preempted: true}, holdTime)
@@ -63,7 +63,7 @@
 		}
 		offer := preemption.Offer{Worker: number, Reserved: w.reserved, Capacity: w.entry.Capacity}
 		for _, r := range w.sortedRuns() {
-			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.mayGiveWay() {
+			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.preemptible() {
 				offer.Runs = append(offer.Runs, preemption.Run{ID: len(runs), Priority: priority, Reserved: reservation(r.step), LostWork: r.lostWork()})
 				runs = append(runs, r)
 			}
@@ -75,11 +75,11 @@
 	return offers, runs
 }
 
-// mayGiveWay reports whether a run may be displaced: a finite one that does not hold up
-// others with its end, of a job that has not been displaced lately.
-func (r *run) mayGiveWay() bool {
+// preemptible reports whether a run may be preempted: a finite one that does not hold up
+// others with its end, of a job that has not been preempted lately.
+func (r *run) preemptible() bool {
 	now := r.worker.leader.state.now
-	recently := r.job.displacedAt > 0 && now-r.job.displacedAt < preemption.Cooldown
+	recently := r.job.preemptedAt > 0 && now-r.job.preemptedAt < preemption.Cooldown
 	return r.phase == phaseRunning && !r.step.Persistent && !r.step.Gang && !recently
 }
 
