--- a/cli/internal/command/parse.go
+++ b/cli/internal/command/parse.go
@@ -175,7 +175,6 @@
 // build a Command from the arguments after parsing.
 func defineCommands(app *kingpin.Application, f *flagValues) map[string]func() Command {
 	builders := make(map[string]func() Command)
-	jobGiven := false
 	defineAuthorFlag := func(c *kingpin.CmdClause) {
 		c.Flag("author", "Name that the change is recorded under; the default is the user's name.").
 			Envar("TAMARACKCTL_AUTHOR").PlaceHolder("NAME").StringVar(&f.author)
@@ -202,27 +201,7 @@
 	builders["status"] = func() Command { return Status{Tasks: *tasks} }
 
 	explain := defineCommand("explain", "Show why a row, task, call, partition or worker is as it is, or where a job would go if it were submitted now. Changes nothing.", exampleExplain)
-	explainSubject := explain.Arg("subject", "Name of a row, task, call, partition or worker.").String()
-	job := explain.Flag("job", "File with a job as callers submit it; - is standard input. --host then names the metrics listener (port 9464) of a host of the users' platform.").PlaceHolder("FILE").IsSetByUser(&jobGiven).String()
-	queueHost := explain.Flag("queue-host", "Host name of the queue.").PlaceHolder("NAME").String()
-	queuePath := explain.Flag("queue-path", "Path of the queue, with or without a job's ID.").PlaceHolder("PATH").String()
-	explain.Validate(func(*kingpin.CmdClause) error {
-		switch {
-		case jobGiven == (*explainSubject != ""):
-			return errors.New("explain needs either a subject or --job")
-		case jobGiven && (*queueHost == "" || *queuePath == ""):
-			return errors.New("explain --job needs --queue-host and --queue-path")
-		case !jobGiven && (*queueHost != "" || *queuePath != ""):
-			return errors.New("--queue-host and --queue-path belong to explain --job")
-		}
-		return nil
-	})
-	builders["explain"] = func() Command {
-		if jobGiven {
-			return ExplainJob{File: cmp.Or(*job, "-"), Host: *queueHost, Path: *queuePath}
-		}
-		return Explain{Subject: *explainSubject}
-	}
+	builders["explain"] = defineExplain(explain)
 
 	for _, resume := range []bool{false, true} {
 		name, help, example := "stop", "Stop rows of the sheet until they are resumed or changed.", exampleStop
@@ -262,3 +241,30 @@
 	builders["report"] = func() Command { return Report{Logs: logNames(*reportLogs), SVG: *svg} }
 	return builders
 }
+
+// defineExplain defines the arguments of explain, and returns the function that builds its
+// Command.
+func defineExplain(explain *kingpin.CmdClause) func() Command {
+	jobGiven := false
+	subject := explain.Arg("subject", "Name of a row, task, call, partition or worker.").String()
+	job := explain.Flag("job", "File with a job as callers submit it; - is standard input. --host then names the metrics listener (port 9464) of a host of the users' platform.").PlaceHolder("FILE").IsSetByUser(&jobGiven).String()
+	queueHost := explain.Flag("queue-host", "Host name of the queue.").PlaceHolder("NAME").String()
+	queuePath := explain.Flag("queue-path", "Path of the queue, with or without a job's ID.").PlaceHolder("PATH").String()
+	explain.Validate(func(*kingpin.CmdClause) error {
+		switch {
+		case jobGiven == (*subject != ""):
+			return errors.New("explain needs either a subject or --job")
+		case jobGiven && (*queueHost == "" || *queuePath == ""):
+			return errors.New("explain --job needs --queue-host and --queue-path")
+		case !jobGiven && (*queueHost != "" || *queuePath != ""):
+			return errors.New("--queue-host and --queue-path belong to explain --job")
+		}
+		return nil
+	})
+	return func() Command {
+		if jobGiven {
+			return ExplainJob{File: cmp.Or(*job, "-"), Host: *queueHost, Path: *queuePath}
+		}
+		return Explain{Subject: *subject}
+	}
+}
