--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -27,9 +27,9 @@
 //     (tasks given to other shards), expire.go (removal of old rows)
 //   - the queue of a shard: schedule.go (passes), rank.go (order), startwindow.go (how many
 //     starts), startlimit.go (until when)
-//   - placement: ranking.go (order of the workers), place.go (filter and score), exclusion.go
-//     (names of the filter's conditions), hold.go (room that is kept), preempt.go (runs that
-//     give way), advice.go (the advice service)
+//   - placement: filter.go (which workers accept a task), exclusion.go (names of the filter's
+//     conditions), place.go (scores and gangs), ranking.go (order of the workers), hold.go
+//     (room that is kept), preempt.go (runs that give way), advice.go (the advice service)
 //   - workers: workers.go, sync.go, incarnation.go, reconcile.go, lease.go, quarantine.go,
 //     usedworkers.go (workers that may have runs)
 //   - runs: runs.go, ack.go (acknowledgement of ends), latestarts.go (starts without an
