--- a/core/scheduler/admission_test.go
+++ b/core/scheduler/admission_test.go
@@ -21,9 +21,9 @@
 	return ConfigurationRow{structs.QueueConfiguration{Number: 2, Queues: []structs.Queue{queue(queueName, "/q/", 2), queue("urgent", "/urgent/", 0)}}}
 }
 
-// newOverload returns a simulation in which 100 s of small jobs wait for one worker that
+// newOverloadedSimulation returns a simulation in which 100 s of small jobs wait for one worker that
 // holds eight of their tasks, and whose leader has measured its rate of work.
-func newOverload(t *testing.T, hosts int) *simulation {
+func newOverloadedSimulation(t *testing.T, hosts int) *simulation {
 	sim := newSimulation(t, hosts, 1)
 	sim.store.set(TableOperator, KeyConfiguration, admissionQueues())
 	sim.waitForLeader()
@@ -56,7 +56,7 @@
 // TestWorthlessJobIsRefused guards against jobs that wait until they are worthless, against a
 // refused job that runs, and against the refusal of urgent, persistent, repeated or small jobs.
 func TestWorthlessJobIsRefused(t *testing.T) {
-	sim := newOverload(t, 2)
+	sim := newOverloadedSimulation(t, 2)
 	got := sim.submitForAnswer(sim.hosts[1], jobA, wideJob())
 	if got.Status != AnswerNotRun || got.RetryAfter < minRefusalRetry || got.RetryAfter > 2*maxRefusalRetry {
 		t.Fatalf("answer %+v, want not run with a delay", got)
@@ -143,7 +143,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			sim := newOverload(t, 2)
+			sim := newOverloadedSimulation(t, 2)
 			leader := sim.leader()
 			if leader == sim.hosts[1] {
 				sim.hosts[0], sim.hosts[1] = sim.hosts[1], sim.hosts[0]
@@ -159,7 +159,7 @@
 // TestRefusalWithoutStoreAccepts guards against "not run" without having read whether the
 // job is stored.
 func TestRefusalWithoutStoreAccepts(t *testing.T) {
-	sim := newOverload(t, 2)
+	sim := newOverloadedSimulation(t, 2)
 	sim.hosts[1].storeCut = true // the read of the job row gets no answer
 	req := sim.submit(sim.hosts[1], jobA, wideJob())
 	sim.advance(100 * time.Millisecond)
--- a/core/scheduler/evacuation_test.go
+++ b/core/scheduler/evacuation_test.go
@@ -53,7 +53,7 @@
 // evacuated, whatever the row's value, also by the next leader, and against a zone that stays
 // closed when the end is seen by a read of the whole table.
 func TestNothingStartsInEvacuatedZone(t *testing.T) {
-	sim := newBoundedSimulation(t, 2, 4, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 2, 4, 0, boundsWithReactionTimes())
 	sim.waitForLeader()
 	sim.store.set(TableOperator, evacuationKeyPrefix+"z0", CancelRow{}) // stands for a value that cannot be read
 	sim.advance(time.Second)
@@ -80,7 +80,7 @@
 // TestOddEvacuations guards against a row without a zone that closes workers whose zone is not
 // known, and a zone without workers that is not logged, or again and again.
 func TestOddEvacuations(t *testing.T) {
-	sim := newBoundedSimulation(t, 2, 2, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 2, 2, 0, boundsWithReactionTimes())
 	for _, f := range sim.workers {
 		f.zone = ""
 		f.writeEntry(false)
@@ -104,7 +104,7 @@
 // TestEvacuatedZoneIsNoRoom guards against jobs that other shards give to a shard whose free
 // workers are all in an evacuated zone.
 func TestEvacuatedZoneIsNoRoom(t *testing.T) {
-	sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 	sim.waitForLeader()
 	l := sim.leader().state.leaderOf(0)
 	before := l.load().Services[serviceName]
@@ -122,7 +122,7 @@
 func TestStartsPauseOnOldViews(t *testing.T) {
 	for _, table := range []Table{TableWorkers, TableOperator} {
 		t.Run(table.String(), func(t *testing.T) {
-			sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+			sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 			sim.waitForLeader()
 			sim.store.cutTable = table
 			sim.workers["w00"].writeEntry(true)
@@ -143,7 +143,7 @@
 // TestNoStartBeforeOperatorTableIsRead guards against starts in an evacuated zone by a leader
 // that has not read the operator's table yet.
 func TestNoStartBeforeOperatorTableIsRead(t *testing.T) {
-	sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 	sim.waitForLeader()
 	sim.submitShort(sim.hosts[0], 1, 1)
 	sim.advance(time.Second)
@@ -164,7 +164,7 @@
 // entries change than a page holds in the time between two watches: it sees late that a worker
 // drains.
 func TestManyHeartbeats(t *testing.T) {
-	sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 	sim.store.maxChanges = maxPageRows
 	sim.waitForLeader()
 	w := sim.leader().state.leaderOf(0).workers["w00"]
--- a/core/scheduler/explain_test.go
+++ b/core/scheduler/explain_test.go
@@ -69,7 +69,7 @@
 			small, VerdictStarts, "find room", "does not answer, or its lists have not been read"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			sim := newBoundedSimulation(t, 2, 4, 0, leavingBounds())
+			sim := newSimulationWithBounds(t, 2, 4, 0, boundsWithReactionTimes())
 			sim.waitForLeader()
 			if c.prepare != nil {
 				c.prepare(sim)
@@ -150,7 +150,7 @@
 // TestExplanationOfRefusal guards against an explanation that accepts what a submission would
 // be refused for, or tells another reason.
 func TestExplanationOfRefusal(t *testing.T) {
-	sim := newOverload(t, 1)
+	sim := newOverloadedSimulation(t, 1)
 	h := sim.hosts[0]
 	invalid := singleStepJob(0, time.Second, 1000)
 	long := singleStepJob(1, time.Second, 1000)
@@ -190,7 +190,7 @@
 	gang.Steps[0].Gang, gang.Steps[0].Image = true, "g"
 	bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "b"
 	play := func(explains bool) *simulation {
-		sim := newOverload(t, 2)
+		sim := newOverloadedSimulation(t, 2)
 		for i := range 500 {
 			sim.store.down = i > 50 // later the hosts tell that they are not ready
 			for _, h := range sim.hosts {
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -24,7 +24,7 @@
 func TestSchedulerInvariants(t *testing.T) {
 	testseed.Fix(t)
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newBoundedSimulation(rt, 3, 4, rapid.SampledFrom([]int{0, 2}).Draw(rt, "workers of a shard"), leavingBounds())
+		sim := newSimulationWithBounds(rt, 3, 4, rapid.SampledFrom([]int{0, 2}).Draw(rt, "workers of a shard"), boundsWithReactionTimes())
 		requests := make(map[RequestID]string)
 		persistent := make(map[string]RequestID)
 		defer func() {
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -71,8 +71,9 @@
 	FinalStateRetention: 120 * time.Second, StopGracePeriod: 6 * time.Second,
 }
 
-// leavingBounds adds the times to react to workers that leave.
-func leavingBounds() Bounds {
+// boundsWithReactionTimes returns bounds that limit starts on workers that drain or whose zone is
+// evacuated.
+func boundsWithReactionTimes() Bounds {
 	b := testBounds
 	b.DrainTime, b.EvacuationTime = 2*time.Second, 5*time.Second
 	return b
@@ -84,10 +85,10 @@
 
 // newShardedSimulation returns a simulation with a shard for each shardWorkers workers.
 func newShardedSimulation(t rapid.TB, hosts, workers, shardWorkers int) *simulation {
-	return newBoundedSimulation(t, hosts, workers, shardWorkers, testBounds)
+	return newSimulationWithBounds(t, hosts, workers, shardWorkers, testBounds)
 }
 
-func newBoundedSimulation(t rapid.TB, hosts, workers, shardWorkers int, bounds Bounds) *simulation {
+func newSimulationWithBounds(t rapid.TB, hosts, workers, shardWorkers int, bounds Bounds) *simulation {
 	sim := &simulation{
 		t: t, bounds: bounds, shardWorkers: shardWorkers, workers: make(map[structs.WorkerID]*fakeWorker), answers: make(map[RequestID]Answer),
 		submittedJobs: make(map[structs.JobID]structs.Job), submissions: make(map[structs.JobID][]RequestID), checkpointedWork: make(map[structs.TaskRef]time.Duration),
@@ -290,7 +291,7 @@
 func (h fakeConnection) sendStart(e StartTask) {
 	send := func() {
 		if h.sim.now-h.started <= e.NotAfter {
-			h.sim.oracle.sent(e)
+			h.sim.oracle.checkSentStart(e)
 		}
 		h.sendCommand(e.WorkerCommand, CommandDone{Effect: e.ID, Outcome: structs.OutcomeUnknown}, func(h fakeConnection, f *fakeWorker) {
 			f.perform(h, e.ID, func() CommandDone { return f.startTask(e) })
@@ -507,9 +508,9 @@
 	o.done[n.Task] = true
 }
 
-// sent checks a start that a host sends: its worker has not announced for DrainTime that it
+// checkSentStart checks a start that a host sends: its worker has not announced for DrainTime that it
 // drains, and its zone has not been evacuated for EvacuationTime.
-func (o *oracle) sent(e StartTask) {
+func (o *oracle) checkSentStart(e StartTask) {
 	t, store := o.sim.t, o.sim.store
 	t.Helper()
 	f := o.sim.workers[e.Worker]
--- a/core/scheduler/zonemoves_test.go
+++ b/core/scheduler/zonemoves_test.go
@@ -34,7 +34,7 @@
 // evacuated zone, against more of them away at a time than may be, and against finite runs that
 // lose their work. A new leader goes on with it.
 func TestPersistentTasksLeaveEvacuatedZone(t *testing.T) {
-	sim := newBoundedSimulation(t, 2, 4, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 2, 4, 0, boundsWithReactionTimes())
 	sim.waitForLeader()
 	sim.startPersistent(func(s *structs.Step) { s.MaxUnavailable = 1 })
 	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(4, 12*time.Second, 1000))
@@ -81,7 +81,7 @@
 		"no reserve":   func(*structs.Step) {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+			sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 			sim.workers["w00"].labels = []string{"only"}
 			sim.workers["w00"].writeEntry(false)
 			sim.waitForLeader()
@@ -103,7 +103,7 @@
 // TestColdWorkersTakeLess guards against workers that are slow after their start and get as
 // many tasks as the others.
 func TestColdWorkersTakeLess(t *testing.T) {
-	sim := newBoundedSimulation(t, 1, 2, 0, leavingBounds())
+	sim := newSimulationWithBounds(t, 1, 2, 0, boundsWithReactionTimes())
 	sim.workers["w00"].coldFor = 10 * time.Second
 	sim.workers["w00"].writeEntry(false)
 	sim.waitForLeader()
