--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -8,6 +8,9 @@
 // Work is an amount of work, in millicore-seconds by declared run times.
 type Work int64
 
+// CoreSecond is the work of one processor in one second.
+const CoreSecond Work = 1000
+
 // Sizes is the number of sizes of jobs that are told apart. Each is twice the one below it;
 // the smallest has under one core-second of waiting work, the last has no limit.
 const Sizes = 12
@@ -17,8 +20,7 @@
 
 // SizeOf returns the size of a job by its waiting work.
 func SizeOf(w Work) int {
-	const coreSecond = 1000
-	return min(bits.Len64(uint64(max(w, 0)/coreSecond)), Sizes-1)
+	return min(bits.Len64(uint64(max(w, 0)/CoreSecond)), Sizes-1)
 }
 
 // Class is the load of one priority of a service in one shard.
@@ -41,12 +43,13 @@
 
 // Demand is a job that asks for admission.
 type Demand struct {
-	Priority  int
-	Work      Work
-	Chain     time.Duration // declared run time of the longest chain of dependent steps
-	Stretch   float64       // objective: Stretch times the chain, plus Slack
-	Slack     time.Duration
-	Worthless float64 // a job has no value to its caller after this many times its objective
+	Priority int
+	Work     Work
+	// CriticalPath is the declared run time of the longest chain of dependent steps.
+	CriticalPath    time.Duration
+	Stretch         float64 // objective: Stretch times the critical path, plus Slack
+	Slack           time.Duration
+	WorthlessFactor float64 // a job has no value to its caller after this many times its objective
 }
 
 // Limits are the bounds of a decision.
@@ -65,11 +68,11 @@
 
 // The reasons. The job is refused for the last two.
 const (
-	Unknown   Reason = iota // some report is missing, too old, or from a leader that is new
-	RoomFree                // there is free room
-	InTime                  // the job can be done while it has value to its caller
-	Worthless               // the job would be done too late to have any value
-	QueueFull               // as many tasks wait as a leader can hold
+	ReasonUnknown   Reason = iota // some report is missing, too old, or from a leader that is new
+	ReasonRoomFree                // there is free room
+	ReasonInTime                  // the job can be done while it has value to its caller
+	ReasonWorthless               // the job would be done too late to have any value
+	ReasonQueueFull               // as many tasks wait as a leader can hold
 )
 
 // Decision is the outcome for one job.
@@ -83,7 +86,7 @@
 }
 
 // Refused reports whether the job is refused.
-func (d Decision) Refused() bool { return d.Reason >= Worthless }
+func (d Decision) Refused() bool { return d.Reason >= ReasonWorthless }
 
 const (
 	// estimateError is how far a declared run time may be off, as a share of it.
@@ -102,12 +105,12 @@
 // is refused only if it would be worthless in every shard by an optimistic estimate, or
 // would not fit into any queue.
 func Decide(d Demand, reports []Report, limits Limits) Decision {
-	best := Decision{Reason: Unknown}
+	best := Decision{Reason: ReasonUnknown}
 	var oldest time.Duration
 	for i := range reports {
 		r := &reports[i]
 		if r.Age > limits.MaxAge || r.Age < -limits.MaxAge || r.Measured < limits.MinMeasured {
-			return Decision{Reason: Unknown}
+			return Decision{Reason: ReasonUnknown}
 		}
 		oldest = max(oldest, r.Age)
 		got := d.decideIn(r, &limits)
@@ -127,29 +130,29 @@
 // decideIn decides on a job in one shard. RetryAfter is not bounded yet.
 func (d *Demand) decideIn(r *Report, limits *Limits) Decision {
 	if r.RoomFree {
-		return Decision{Reason: RoomFree}
+		return Decision{Reason: ReasonRoomFree}
 	}
 	rate, total := r.rates(d.Priority)
 	if total <= 0 {
-		return Decision{Reason: Unknown} // nothing runs, so that nothing is known of the room
+		return Decision{Reason: ReasonUnknown} // nothing runs, so that nothing is known of the room
 	}
-	out := Decision{Reason: InTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.Worthless)}
+	out := Decision{Reason: ReasonInTime, Ahead: r.ahead(d.Priority, SizeOf(d.Work)), Limit: scale(d.objective(1+estimateError), d.WorthlessFactor)}
 	wait := duration(out.Ahead, rate)
-	out.Completion = wait + max(scale(d.Chain, 1-estimateError), duration(d.Work, total*(1+estimateError)))
+	out.Completion = wait + max(scale(d.CriticalPath, 1-estimateError), duration(d.Work, total*(1+estimateError)))
 	switch {
 	case r.full(d.Priority, limits):
-		out.Reason = QueueFull
+		out.Reason = ReasonQueueFull
 		out.RetryAfter = scale(wait, fullQueueRetry)
 	case out.Completion > out.Limit:
-		out.Reason = Worthless
+		out.Reason = ReasonWorthless
 		out.RetryAfter = out.Completion - d.objective(1)
 	}
 	return out
 }
 
-// objective returns by when the job should be done, with its chain scaled by a factor.
+// objective returns by when the job should be done, with its critical path scaled by a factor.
 func (d *Demand) objective(factor float64) time.Duration {
-	return scale(d.Chain, d.Stretch*factor) + d.Slack
+	return scale(d.CriticalPath, d.Stretch*factor) + d.Slack
 }
 
 // ahead returns the waiting work that is certainly served before a new job: that of higher
@@ -233,13 +236,13 @@
 // String returns the reason in logs.
 func (r Reason) String() string {
 	switch r {
-	case RoomFree:
+	case ReasonRoomFree:
 		return "there is free room"
-	case InTime:
+	case ReasonInTime:
 		return "it can be done in time"
-	case Worthless:
+	case ReasonWorthless:
 		return "it would be done too late"
-	case QueueFull:
+	case ReasonQueueFull:
 		return "the queue is full"
 	}
 	return "the load is not known"
--- a/core/colocation/replay_test.go
+++ b/core/colocation/replay_test.go
@@ -71,7 +71,7 @@
 	pause:   3 * time.Second,
 }
 
-// movesFirst are the decisions before tasks were paced: the present load admits a start,
+// movesFirst are the decisions before tasks were throttled: the present load admits a start,
 // all pairs have one prior, and any excess moves the task that contends most.
 var movesFirst = decisions{
 	admits: func(w *Worker, image ImageID) (bool, float64) {
@@ -117,7 +117,7 @@
 }
 
 func formerPressure(m *Model, serving, bestEffort ImageID) float64 {
-	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unknown {
+	if row := m.pressures[serving]; int(bestEffort) < len(row) && row[bestEffort] != unobserved {
 		return row[bestEffort].Value
 	}
 	return priorPressure
@@ -177,7 +177,7 @@
 	}
 	m := NewModel(bases, nil)
 	for k := range bestEffortImages {
-		m.ImageIDOf(fmt.Sprint("best effort", k))
+		m.RegisterImage(fmt.Sprint("best effort", k))
 		heavy := float64(k) < load.heavy*bestEffortImages
 		for i := range servingImages {
 			p := &r.pressures[i][k]
--- a/core/ordering/ordering.go
+++ b/core/ordering/ordering.go
@@ -23,16 +23,17 @@
 	Persistent bool          // it runs until it is cancelled
 	Age        time.Duration // since it was accepted
 	Objective  time.Duration // from its acceptance to the time by which it should be done
-	Chain      time.Duration // expected run time of the longest chain of its steps that is left
-	Work       float64       // expected work of its tasks that wait, in processor-seconds
-	Value      float64       // to its caller if it is done within its objective
+	// CriticalPath is the expected run time of the longest chain of its steps that is left.
+	CriticalPath time.Duration
+	Work         float64 // expected work of its tasks that wait, in core-seconds
+	Value        float64 // to its caller if it is done within its objective
 }
 
 const (
 	// WorthlessFactor times a job's objective is the age after which it has no value to
 	// its caller.
 	WorthlessFactor = 3
-	// minWork bounds the work that is left from below, in processor-seconds, so that jobs
+	// minWork bounds the work that is left from below, in core-seconds, so that jobs
 	// without estimates do not get an unbounded urgency.
 	minWork = 0.01
 )
@@ -56,26 +57,26 @@
 }
 
 const (
-	// lookaheadChains usual chains, and lookaheadWaits times the expected wait, are the
+	// lookaheadPaths usual critical paths, and lookaheadWaits times the expected wait, are the
 	// slack within which the urgency of a job falls by the factor e. With a shorter one the
 	// order nears that by slack, which is poor under a long overload; with a longer one that
 	// by value per work, which delays large jobs. Slack that is below the wait for room does
 	// not tell jobs apart.
-	lookaheadChains = 3
-	lookaheadWaits  = 2
+	lookaheadPaths = 3
+	lookaheadWaits = 2
 )
 
-// Lookahead returns the scale on which slack counts, from the longest chain of a usual job
+// Lookahead returns the scale on which slack counts, from the critical path of a usual job
 // and the time in which the work that waits is done.
-func Lookahead(usualChain, wait time.Duration) time.Duration {
-	return max(lookaheadChains*usualChain, lookaheadWaits*wait)
+func Lookahead(usualPath, wait time.Duration) time.Duration {
+	return max(lookaheadPaths*usualPath, lookaheadWaits*wait)
 }
 
 // RankOf returns the rank of a job.
 func RankOf(j Job, lookahead time.Duration) Rank {
 	r := Rank{priority: j.Priority}
-	onTime := j.Objective - j.Age - j.Chain
-	useful := WorthlessFactor*j.Objective - j.Age - j.Chain
+	onTime := j.Objective - j.Age - j.CriticalPath
+	useful := WorthlessFactor*j.Objective - j.Age - j.CriticalPath
 	switch {
 	case j.Persistent:
 		r.class, r.urgency = classPersistent, j.Age.Seconds()
@@ -89,7 +90,7 @@
 	return r
 }
 
-// urgency is the apparent tardiness cost of a job: the value for each processor-second that
+// urgency is the apparent tardiness cost of a job: the value for each core-second that
 // it still needs, discounted by its slack.
 func urgency(j Job, slack, lookahead time.Duration) float64 {
 	discount := math.Exp(-slack.Seconds() / max(lookahead.Seconds(), time.Millisecond.Seconds()))
@@ -114,9 +115,9 @@
 	return r
 }
 
-// Starves reports whether a job has had no run for so long that it is to be promoted. One
-// job of a priority is at a time, the one that has waited longest: otherwise a long
-// overload would end in the order of arrival, in which most jobs are late.
+// Starves reports whether a job has had no run for so long that it may be promoted. Of each
+// priority only the job that has waited longest is promoted: otherwise a long overload would
+// end in the order of arrival, in which most jobs are late.
 func Starves(j Job, idle time.Duration) bool {
 	return !j.Persistent && idle > max(starvationFactor*j.Objective, minStarvation)
 }
@@ -137,7 +138,7 @@
 )
 
 // Value returns the value of a job to its caller, relative to a job with the mean work of
-// its queue. Works are in processor-seconds.
+// its queue. Works are in core-seconds.
 func Value(work, mean float64) float64 {
 	return jobShare + (1-jobShare)*min(work/max(mean, minWork), maxRelativeWork)
 }
--- a/core/scheduler/interference.go
+++ b/core/scheduler/interference.go
@@ -49,14 +49,14 @@
 // addColocated adds a run to those that share the worker's CPU, if it is of a serving or
 // a best-effort task.
 func (w *worker) addColocated(r *run) {
-	r.image = w.leader.interference.ImageIDOf(r.step.Image)
+	r.image = w.leader.interference.RegisterImage(r.step.Image)
 	switch {
 	case r.step.TailTarget > 0:
 		r.serving = &colocation.Serving{Image: r.image, TargetMS: r.step.TailTarget.Seconds() * 1000, Load: r.job.stepLoad(r.ref)}
 		w.colocated.AddServing(r.serving)
 	case r.step.BestEffort:
-		r.filling = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
-		w.colocated.AddBestEffort(r.filling)
+		r.bestEffort = &colocation.BestEffort{Image: r.image, Requested: r.step.Request.MilliCores, Saves: r.step.SavesProgress}
+		w.colocated.AddBestEffort(r.bestEffort)
 		w.bestEffort = append(w.bestEffort, r)
 	}
 }
@@ -75,10 +75,10 @@
 	switch {
 	case r.serving != nil:
 		r.serving.TailMS, r.serving.Running, r.serving.Ready = float64(r.gauge), r.phase == phaseRunning, r.readySince > 0
-	case r.filling != nil:
-		r.filling.Used, r.filling.Stopping = r.gauge, r.phase == phaseStopping
-		r.filling.Worked = r.workedAtFullSpeed(r.worker.leader.state.now)
-		r.filling.Remaining = r.remainingAfter(r.filling.Worked)
+	case r.bestEffort != nil:
+		r.bestEffort.Used, r.bestEffort.Stopping = r.gauge, r.phase == phaseStopping
+		r.bestEffort.Worked = r.workedAtFullSpeed(r.worker.leader.state.now)
+		r.bestEffort.Remaining = r.remainingAfter(r.bestEffort.Worked)
 	}
 }
 
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -26,7 +26,7 @@
 	case waited < preemption.Delay:
 		l.schedule.requestPassAt(now + preemption.Delay - waited)
 		return
-	case j.displacedAt > 0 && now-j.displacedAt < preemption.Cooldown:
+	case j.preemptedAt > 0 && now-j.preemptedAt < preemption.Cooldown:
 		return
 	}
 	j.preemptionRetryAt = now + preemptionInterval
@@ -34,7 +34,7 @@
 	if _, free := l.countHolds(f); free <= 0 {
 		return
 	}
-	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.stepWork(ref.Step, 1)}
+	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.expectedStepWork(ref.Step, 1)}
 	offers, runs := l.preemptionOffers(f)
 	plan, ok := preemption.Choose(task, offers)
 	if !ok {
@@ -43,7 +43,7 @@
 	w := l.workers[l.workerIDs[plan.Worker]]
 	for _, id := range plan.Runs {
 		r := runs[id]
-		r.job.displacedAt = now
+		r.job.preemptedAt = now
 		l.moveRun(r, "gives way to more urgent work")
 	}
 	w.keepRoom(keptRoom{job: j, need: task.Need, preempted: true}, holdTime)
@@ -74,7 +74,7 @@
 		}
 		offer := preemption.Offer{Worker: number, Reserved: w.reserved, Capacity: w.entry.Capacity}
 		for _, r := range w.sortedRuns() {
-			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.mayGiveWay() {
+			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.preemptible() {
 				offer.Runs = append(offer.Runs, preemption.Run{ID: len(runs), Priority: priority, Reserved: reservation(r.step), LostWork: r.lostWork()})
 				runs = append(runs, r)
 			}
@@ -86,21 +86,19 @@
 	return offers, runs
 }
 
-// mayGiveWay reports whether a run may be displaced: a finite one that does not hold up
-// others with its end, of a job that has not been displaced lately.
-func (r *run) mayGiveWay() bool {
+// preemptible reports whether a run may be preempted: a finite one that does not hold up
+// others with its end, of a job that has not been preempted lately.
+func (r *run) preemptible() bool {
 	now := r.worker.leader.state.now
-	recently := r.job.displacedAt > 0 && now-r.job.displacedAt < preemption.Cooldown
+	recently := r.job.preemptedAt > 0 && now-r.job.preemptedAt < preemption.Cooldown
 	return r.phase == phaseRunning && !r.step.Persistent && !r.step.Gang && !recently
 }
 
-// lostWork returns the work that a stop of the run throws away, in processor-seconds.
+// lostWork returns the work that a stop of the run throws away, in core-seconds.
 func (r *run) lostWork() float64 {
-	const milliCoresPerCore = 1000
-	cores := float64(r.step.Request.MilliCores) / milliCoresPerCore
 	lost := r.worker.leader.state.now - r.confirmedAt
 	if r.step.SavesProgress {
 		lost = min(lost, resumeLoss)
 	}
-	return cores * lost.Seconds()
+	return r.step.Request.Cores() * lost.Seconds()
 }
--- a/core/scheduler/preempt_test.go
+++ b/core/scheduler/preempt_test.go
@@ -75,7 +75,7 @@
 	job.Steps[1].Count, job.Steps[1].After = 2, []int{0}
 	sim.submit(sim.hosts[0], jobB, job)
 	sim.waitFor(5*time.Second, "the second step", func() bool { return sim.workerRunning(structs.TaskRef{Job: jobB, Step: 1}) != nil })
-	waited := sim.waitFor(preemption.Delay+time.Second, "the displacement", func() bool { return sim.logged("gives way") > 0 })
+	waited := sim.waitFor(preemption.Delay+time.Second, "the displacement", func() bool { return sim.countDecisions("gives way") > 0 })
 	if waited < preemption.Delay-20*time.Millisecond {
 		t.Errorf("a run gives way %v after the step has become ready, want %v at least", waited, preemption.Delay)
 	}
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -12,11 +12,11 @@
 
 // jobOrder holds what the order of waiting jobs depends on besides the jobs.
 type jobOrder struct {
-	works     map[string]*ordering.Mean // work of the admitted jobs, in processor-seconds, by queue
-	chains    ordering.Mean             // longest chains of the admitted finite jobs, in seconds
+	works     map[string]*ordering.Mean // work of the admitted jobs, in core-seconds, by queue
+	paths     ordering.Mean             // critical paths of the admitted finite jobs, in seconds
 	ranked    []rankedJob               // by the last waitingJobs, which reuses it
 	lookahead time.Duration             // of their ranks
-	ends      []time.Duration           // reused by longestChain
+	ends      []time.Duration           // reused by expectedPath
 }
 
 // rankedJob is a waiting job with its rank in one pass.
@@ -26,7 +26,7 @@
 	rank      ordering.Rank
 }
 
-// observeJob records the work and the chain of a job that is admitted.
+// observeJob records the work and the critical path of a job that is admitted.
 func (o *jobOrder) observeJob(j *job) {
 	if j.Persistent() {
 		return
@@ -39,11 +39,11 @@
 		mean = &ordering.Mean{}
 		o.works[j.Queue] = mean
 	}
-	mean.Observe(j.totalWork())
-	o.chains.Observe(o.chain(j).Seconds())
+	mean.Observe(j.expectedWork())
+	o.paths.Observe(o.criticalPath(j).Seconds())
 }
 
-// meanWork returns the mean work of the jobs of a queue, in processor-seconds.
+// meanWork returns the mean work of the jobs of a queue, in core-seconds.
 func (o *jobOrder) meanWork(queue string) float64 {
 	if mean := o.works[queue]; mean != nil {
 		return mean.Value()
@@ -51,9 +51,9 @@
 	return 0
 }
 
-// usualChain returns the mean of the longest chains of the jobs.
-func (o *jobOrder) usualChain() time.Duration {
-	return time.Duration(o.chains.Value() * float64(time.Second))
+// usualCriticalPath returns the mean of the critical paths of the jobs.
+func (o *jobOrder) usualCriticalPath() time.Duration {
+	return time.Duration(o.paths.Value() * float64(time.Second))
 }
 
 // waitingJobs returns the jobs with tasks that wait for a run, in the order in which they
@@ -67,7 +67,7 @@
 			work += ranked[i].described.Work
 		}
 	}
-	l.order.lookahead = ordering.Lookahead(l.order.usualChain(), l.drainTime(work))
+	l.order.lookahead = ordering.Lookahead(l.order.usualCriticalPath(), l.timeForWork(work))
 	for i := range ranked {
 		ranked[i].rank = ordering.RankOf(ranked[i].described, l.order.lookahead)
 	}
@@ -113,13 +113,12 @@
 	}
 }
 
-// drainTime returns in what time some work, in processor-seconds, is done at the present
-// rate of the shard; 0 if the rate is not known.
-func (l *leaderState) drainTime(work float64) time.Duration {
-	const milliCoresPerCore = 1000
+// timeForWork returns how long some work, in core-seconds, takes at the present rate of
+// the shard; 0 if the rate is not known.
+func (l *leaderState) timeForWork(work float64) time.Duration {
 	rate := 0.0
 	for _, class := range slices.SortedFunc(maps.Keys(l.workDone), classKey.compare) { // the sum depends on the order
-		rate += l.workDone[class].Rate(l.state.now) / milliCoresPerCore
+		rate += l.workDone[class].Rate(l.state.now) / structs.MilliCoresPerCore
 	}
 	if rate <= 0 {
 		return 0
@@ -142,9 +141,9 @@
 		age = time.Duration(-l.untilDueMS(j, occurrence)) * time.Millisecond
 	}
 	return ordering.Job{
-		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.chain(j)),
-		Chain: l.order.chainLeft(j, occurrence), Work: j.waitingWork(occurrence),
-		Value: ordering.Value(j.totalWork(), l.order.meanWork(j.Queue)),
+		Priority: policy.Priority, Persistent: j.Persistent(), Age: age, Objective: objective(policy, l.order.criticalPath(j)),
+		CriticalPath: l.order.criticalPathLeft(j, occurrence), Work: j.expectedWaitingWork(occurrence),
+		Value: ordering.Value(j.expectedWork(), l.order.meanWork(j.Queue)),
 	}
 }
 
@@ -169,28 +168,28 @@
 const maxObjective = 30 * 24 * time.Hour
 
 // objective returns the time from the acceptance of a job to that by which it should be
-// done, by the run time of its longest chain of steps.
-func objective(policy *structs.Policy, chain time.Duration) time.Duration {
-	return min(time.Duration(policy.Stretch*float64(min(chain, maxObjective))), maxObjective) + policy.Slack
+// done, by the run time of its critical path.
+func objective(policy *structs.Policy, path time.Duration) time.Duration {
+	return min(time.Duration(policy.Stretch*float64(min(path, maxObjective))), maxObjective) + policy.Slack
 }
 
-// chain returns the expected run time of the longest chain of dependent steps.
-func (o *jobOrder) chain(j *job) time.Duration {
-	return o.longestChain(j, func(int) bool { return true })
+// criticalPath returns the expected run time of the longest chain of dependent steps.
+func (o *jobOrder) criticalPath(j *job) time.Duration {
+	return o.expectedPath(j, func(int) bool { return true })
 }
 
-// chainLeft returns the expected run time of the longest chain of the steps of an occurrence
+// criticalPathLeft returns the expected run time of the longest chain of the steps of an occurrence
 // that have tasks that wait.
-func (o *jobOrder) chainLeft(j *job, occurrence int) time.Duration {
+func (o *jobOrder) criticalPathLeft(j *job, occurrence int) time.Duration {
 	waiting := j.waitingByStep[occurrence]
-	return o.longestChain(j, func(step int) bool { return waiting[step] > 0 })
+	return o.expectedPath(j, func(step int) bool { return waiting[step] > 0 })
 }
 
-// longestChain returns the expected run time of the longest chain of those steps that a
-// condition holds for.
-func (o *jobOrder) longestChain(j *job, counts func(step int) bool) time.Duration {
+// expectedPath returns the expected run time of the longest chain of those steps that
+// a condition holds for.
+func (o *jobOrder) expectedPath(j *job, counts func(step int) bool) time.Duration {
 	o.ends = slices.Grow(o.ends[:0], len(j.Steps))[:len(j.Steps)]
-	return longestChain(j.Steps, o.ends, func(step int) time.Duration {
+	return longestPath(j.Steps, o.ends, func(step int) time.Duration {
 		if !counts(step) {
 			return 0
 		}
@@ -198,14 +197,14 @@
 	})
 }
 
-// criticalPath returns the declared run time of the longest chain of dependent steps.
-func criticalPath(steps []structs.Step) time.Duration {
-	return longestChain(steps, make([]time.Duration, len(steps)), func(step int) time.Duration { return steps[step].Estimate })
+// declaredCriticalPath returns the declared run time of the longest chain of dependent steps.
+func declaredCriticalPath(steps []structs.Step) time.Duration {
+	return longestPath(steps, make([]time.Duration, len(steps)), func(step int) time.Duration { return steps[step].Estimate })
 }
 
-// longestChain returns the run time of the longest chain of dependent steps. It uses ends,
+// longestPath returns the run time of the longest chain of dependent steps. It uses ends,
 // which has an element for each step.
-func longestChain(steps []structs.Step, ends []time.Duration, runTime func(step int) time.Duration) time.Duration {
+func longestPath(steps []structs.Step, ends []time.Duration, runTime func(step int) time.Duration) time.Duration {
 	var longest time.Duration
 	for i := range steps {
 		ends[i] = 0
@@ -236,27 +235,25 @@
 	j.runTimes[step].Observe(took.Seconds())
 }
 
-// totalWork returns the expected work of one occurrence of a job, in processor-seconds.
-func (j *job) totalWork() float64 {
+// expectedWork returns the expected work of one occurrence of a job, in core-seconds.
+func (j *job) expectedWork() float64 {
 	var work float64
 	for i := range j.Steps {
-		work += j.stepWork(i, j.Steps[i].Count)
+		work += j.expectedStepWork(i, j.Steps[i].Count)
 	}
 	return work
 }
 
-// waitingWork returns the expected work of the tasks of an occurrence that wait.
-func (j *job) waitingWork(occurrence int) float64 {
+// expectedWaitingWork returns the expected work of the tasks of an occurrence that wait.
+func (j *job) expectedWaitingWork(occurrence int) float64 {
 	var work float64
 	for i, waiting := range j.waitingByStep[occurrence] {
-		work += j.stepWork(i, waiting)
+		work += j.expectedStepWork(i, waiting)
 	}
 	return work
 }
 
-// stepWork returns the expected work of some tasks of a step, in processor-seconds.
-func (j *job) stepWork(step, tasks int) float64 {
-	const milliCoresPerCore = 1000
-	cores := float64(j.Steps[step].Request.MilliCores) / milliCoresPerCore
-	return float64(tasks) * cores * j.expectedRunTime(step).Seconds()
+// expectedStepWork returns the expected work of some tasks of a step, in core-seconds.
+func (j *job) expectedStepWork(step, tasks int) float64 {
+	return float64(tasks) * j.Steps[step].Request.Cores() * j.expectedRunTime(step).Seconds()
 }
--- a/core/scheduler/rank_test.go
+++ b/core/scheduler/rank_test.go
@@ -45,9 +45,9 @@
 		l.workDone[classKey{serviceName, priority}] = meter
 	}
 	const work = 4e7 // long enough to show the last bit of the rate
-	first := l.drainTime(work)
+	first := l.timeForWork(work)
 	for range 200 {
-		if got := l.drainTime(work); got != first {
+		if got := l.timeForWork(work); got != first {
 			t.Fatalf("%d ns and %d ns for the same work", first, got)
 		}
 	}
--- a/core/scheduler/restart_release_test.go
+++ b/core/scheduler/restart_release_test.go
@@ -46,12 +46,12 @@
 				return callFate{requestDelay: 1300 * time.Millisecond}
 			}
 		}
-		return callFate{requestLost: sim.logged("stop ordered") > 0 && a.alive && !a.unlisted} // loses the stop
+		return callFate{requestLost: sim.countDecisions("stop ordered") > 0 && a.alive && !a.unlisted} // loses the stop
 	}}
 	sim.submitAndWait(sim.hosts[0], jobB, persistentJob(1, 1000)) // its lists are read
 	sim.advance(time.Second)
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
-	sim.waitFor(1200*time.Millisecond, "the stop", func() bool { return sim.logged("start without an answer") > 0 })
+	sim.waitFor(1200*time.Millisecond, "the stop", func() bool { return sim.countDecisions("start without an answer") > 0 })
 	a.unlisted, b.unlisted = true, true
 	sim.swapWorkers(a, b)
 	sim.advance(550 * time.Millisecond)
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -489,7 +489,7 @@
 	// Ends of other runs on both workers bring their lists.
 	sim.submitAndWait(sim.hosts[0], jobB, singleStepJob(8, 400*time.Millisecond, 700))
 	sim.advance(ordered + commandTimeout - 100*time.Millisecond - sim.now)
-	if sim.logged("stop ordered") > 0 {
+	if sim.countDecisions("stop ordered") > 0 {
 		t.Error("a member of the gang is stopped while its start may be on its way")
 	}
 }
--- a/core/scheduler/shards.go
+++ b/core/scheduler/shards.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/structs"
+	"github.com/tamarackstep/tamarackstep/core/timers"
 )
 
 const (
@@ -104,7 +105,7 @@
 		v := &s.shards
 		readable := r.Outcome == structs.OutcomeDone
 		if readable || timeout >= readTimeout { // a shorter read proves nothing about a slow store
-			trackSince(&v.readableSince, readable, s.now)
+			timers.TrackSince(&v.readableSince, readable, s.now)
 		}
 		if readable {
 			v.storeMS, v.readAt, v.readTime, v.everRead = r.StoreMS, s.now, s.now-sentAt, true
@@ -284,3 +285,21 @@
 	}
 	return load.slots(step) - int64(tasks)
 }
+
+// reportShards reports the known loads of all shards for the metrics.
+func (s *State) reportShards() {
+	v := &s.shards
+	for id := range ShardID(v.count()) {
+		row, ok := v.loads[id]
+		if !ok || row.AtMS == 0 {
+			continue
+		}
+		report := ShardReport{Shard: id, WrittenAt: s.now - v.age(row, s.now), Backlog: make(map[string][]BacklogClass)}
+		for service, load := range row.Services {
+			if len(load.Backlog) > 0 {
+				report.Backlog[service] = load.Backlog
+			}
+		}
+		s.emit(report)
+	}
+}
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -58,8 +58,8 @@
 	if h.failures == refuseAfterFailures {
 		s.after(max(h.lastSuccess+storeFailureGrace-s.now, 0), s.updateReady)
 	}
-	if h.away(s.now) {
-		s.after(0, s.giveUpWhileAway) // once the outcome of this call is recorded
+	if h.isOutage(s.now) {
+		s.after(0, s.giveUpDuringOutage) // once the outcome of this call is recorded
 	}
 }
 
@@ -74,10 +74,10 @@
 // the store is reachable again.
 func (h *storeHealth) shouldRefuse() bool { return h.failing && h.failures >= refuseAfterFailures }
 
-// away reports whether all calls have failed for so long that the requests in progress
+// isOutage reports whether all calls have failed for so long that the requests in progress
 // are better served by another host.
-func (h *storeHealth) away(now Instant) bool {
-	return h.shouldRefuse() && now-h.lastSuccess >= storeAwayTime
+func (h *storeHealth) isOutage(now Instant) bool {
+	return h.shouldRefuse() && now-h.lastSuccess >= storeOutageTime
 }
 
 func outcomeName(o structs.Outcome) string {
@@ -130,12 +130,12 @@
 	loadSentAt        Instant         // when the first page of the read that goes on was sent
 	failures          int             // watches in a row without an answer while the store answered other calls
 	unanswered        bool            // the last watch had no answer
-	picture           picture
+	view              tableView
 }
 
-// picture tells from when what a watch has seen of its table is: each row that the store
+// tableView tells how recent what a watch has seen of its table is: each row that the store
 // accepted before asOf has been applied.
-type picture struct {
+type tableView struct {
 	complete bool // the whole table has been read
 	asOf     Instant
 }
@@ -205,7 +205,7 @@
 func (w *watch) loadDone(s *State) {
 	rows := w.snapshot
 	w.snapshot, w.afterVersion = nil, w.oldestPage
-	w.picture = picture{complete: true, asOf: w.loadSentAt}
+	w.view = tableView{complete: true, asOf: w.loadSentAt}
 	w.onRows(rows, true)
 	if loaded := w.onLoaded; loaded != nil {
 		w.onLoaded = nil
@@ -245,7 +245,7 @@
 		w.afterVersion = max(w.afterVersion, r.Version)
 		more := r.moreChanges()
 		if !more {
-			w.picture.asOf = sentAt
+			w.view.asOf = sentAt
 		}
 		if len(r.Rows) > 0 {
 			w.onRows(r.Rows, false)
--- a/core/scheduler/storeaway_test.go
+++ b/core/scheduler/storeoutage_test.go
@@ -12,8 +12,8 @@
 	return sim.answers[req]
 }
 
-// jobCommits makes commits of job rows end in an outcome.
-func (sim *simulation) jobCommits(outcome int) {
+// setJobCommitOutcome makes commits of job rows end in an outcome.
+func (sim *simulation) setJobCommitOutcome(outcome int) {
 	sim.store.commitOutcome = func(_ *fakeHost, e Commit) int {
 		if e.Writes[0].Table == TableJobs {
 			return outcome
@@ -40,7 +40,7 @@
 func TestLostAnswerIsConfirmedByRow(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitUnanswered)
+	sim.setJobCommitOutcome(commitUnanswered)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	if a := sim.awaitAnswer(req, 2*confirmInterval); a.Status != AnswerOK {
 		t.Errorf("answer %+v, want status %v", a, AnswerOK)
@@ -52,7 +52,7 @@
 func TestLateCommitIsNotRefused(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitLate)
+	sim.setJobCommitOutcome(commitLate)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	if a := sim.awaitAnswer(req, 3*time.Second); a.Status != AnswerUnknown {
 		t.Errorf("answer %+v, want status %v", a, AnswerUnknown)
@@ -60,15 +60,15 @@
 	sim.waitFor(4*time.Second, "the late commit", func() bool { return sim.store.get(TableJobs, jobA) != nil })
 }
 
-// TestRequestsEndWhileStoreIsAway guards against requests that are held to their deadline
+// TestRequestsEndDuringStoreOutage guards against requests that are held to their deadline
 // although the host knows that it cannot reach the store.
-func TestRequestsEndWhileStoreIsAway(t *testing.T) {
+func TestRequestsEndDuringStoreOutage(t *testing.T) {
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
 	sim.hosts[0].storeCut = true
 	req := sim.request(sim.hosts[0], RequestState, "/q/"+jobA)
-	sim.awaitAnswer(req, readTimeout+storeAwayTime/2)
+	sim.awaitAnswer(req, readTimeout+storeOutageTime/2)
 }
 
 // TestCancelOfAnsweredRequestIsNotWritten guards against a cancellation that is stored
@@ -91,7 +91,7 @@
 func TestRequestsAreAnsweredBeforeStop(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.waitForLeader()
-	sim.jobCommits(commitLate)
+	sim.setJobCommitOutcome(commitLate)
 	req := sim.submit(sim.hosts[0], jobA, singleStepJob(1, time.Second, 1000))
 	state := sim.hosts[0].state
 	state.requests.open[req].deadline += time.Minute // a caller with much time
@@ -101,9 +101,9 @@
 	}
 }
 
-// TestHostTurnedAwayLeavesRotation guards against callers who are sent to a host that the
+// TestHostRefusedByStoreLeavesRotation guards against callers who are sent to a host that the
 // store does not answer, and against one that stays out of rotation afterwards.
-func TestHostTurnedAwayLeavesRotation(t *testing.T) {
+func TestHostRefusedByStoreLeavesRotation(t *testing.T) {
 	sim := newSimulation(t, 2, 1)
 	sim.waitForLeader()
 	h := sim.hosts[0]
