--- a/core/scheduler/zonemoves_test.go
+++ b/core/scheduler/zonemoves_test.go
@@ -116,7 +116,7 @@
 	if sim.runsIn("z0", jobB) == 0 {
 		t.Fatal("no runs in the zone")
 	}
-	sim.evacuate("z0", true)
+	sim.evacuate("z0")
 	sim.waitFor(20*time.Second, "the moves", func() bool { return sim.runsIn("z0", jobB) == 0 })
 	if sim.runsIn("z0", jobA) != 2 {
 		t.Error("a task without room outside was stopped")
