--- a/core/scheduler/restart_rules_test.go
+++ b/core/scheduler/restart_rules_test.go
@@ -124,7 +124,7 @@
 	sim.submitAndWait(sim.hosts[0], jobA, singleStepJob(1, time.Minute, 1000))
 	sim.waitFor(time.Second, "the order of the start", func() bool { return len(w.runs) == 1 })
 	r := w.sortedRuns()[0]
-	fate.answerDelay = 700 * time.Millisecond
+	fate.answerDelay = stopTimeout - 20*time.Millisecond
 	sim.waitFor(4*time.Second, "a stop on its way", func() bool { return r.stopInFlight })
 	fate.answerDelay = 0
 	sim.advance(2 * workerDelay)
