--- a/core/scheduler/bench_test.go
+++ b/core/scheduler/bench_test.go
@@ -57,7 +57,7 @@
 
 // BenchmarkPass measures one scheduling pass over 1,100 full workers, with 1,000 and with
 // 10,000 tasks that wait, one explanation there, and the order of the waiting jobs alone
-// beside the former one by soft deadlines.
+// beside the former one by deadlines.
 func BenchmarkPass(b *testing.B) {
 	const tasksPerJob = 20
 	for _, waiting := range []int{1_000, 10_000} {
@@ -89,15 +89,15 @@
 		})
 		b.Run(fmt.Sprintf("former-order/%d", waiting), func(b *testing.B) {
 			for b.Loop() {
-				l.bySoftDeadline(sim.now)
+				l.byDeadline(sim.now)
 			}
 		})
 	}
 }
 
-// bySoftDeadline orders the waiting jobs by priority, by whether they are late and by
+// byDeadline orders the waiting jobs by priority, by whether they are late and by
 // declared deadline, as before core/ordering.
-func (l *leaderState) bySoftDeadline(now Instant) []*job {
+func (l *leaderState) byDeadline(now Instant) []*job {
 	deadline := func(j *job) Instant {
 		return j.submittedAt + objective(l.state.config.policyOf(&j.Job), declaredCriticalPath(j.Steps))
 	}
--- a/core/scheduler/jobs.go
+++ b/core/scheduler/jobs.go
@@ -264,7 +264,7 @@
 	}
 }
 
-// admit restores a job's progress, sets its soft deadline and makes its tasks
+// admit restores a job's progress and makes its tasks
 // available to scheduling passes.
 func (l *leaderState) admit(j *job) {
 	if j.admitted {
--- a/core/scheduler/rows.go
+++ b/core/scheduler/rows.go
@@ -233,7 +233,7 @@
 type BacklogClass struct {
 	Priority int     `json:"prio,omitempty"`
 	Waiting  int64   `json:"wait,omitempty"`   // of the tasks without a run
-	OnTime   []int64 `json:"timely,omitempty"` // the part of it in jobs whose soft deadline has not passed, by their sizes
+	OnTime   []int64 `json:"timely,omitempty"` // the part of it in jobs that have not missed their objectives, by their sizes
 	Tasks    int     `json:"tasks,omitempty"`  // number of the tasks without a run
 	Running  int64   `json:"run,omitempty"`    // requested by tasks with a run, in millicores; 0 if Rate is known
 	Rate     int64   `json:"rate,omitempty"`   // work done per second, in millicores
--- a/core/scheduler/startwindow.go
+++ b/core/scheduler/startwindow.go
@@ -13,7 +13,7 @@
 	initialStarts = 64
 	maxStarts     = 1024
 	// startDelayTarget is the age of an answer from which the leader orders more
-	// starts than it can send. It leaves most of the time to the soft deadline of a
+	// starts than it can send. It leaves most of the time to the objective of a
 	// short job to the job itself.
 	startDelayTarget = 150 * time.Millisecond
 	// startDecrease is the factor by which the limit falls, at most once in
