scheduler: a start without an answer is given up after 0.6 s instead of by the worker's lists

Cause: giving up a start that the lists do not show while its call still has time leaves it on its way: the former incarnation acknowledged the stop, the task started elsewhere, and the next incarnation carried the start out before its lists were read (found by the review). Change: the call itself ends after 0.6 s, for members of a gang after 1.5 s as before.

--- a/core/scheduler/reconcile.go
+++ b/core/scheduler/reconcile.go
@@ -51,14 +51,8 @@
 		// Its end may be among those that follow.
 	case r.stopAckedAt > 0 && r.stopAckedAt <= sent:
 		l.runLost(r, "stopped before it began") // the worker refuses the run from now on
-	case r.phase == phaseStarting && (r.step.Gang || sent-r.startSentAt < startExpiry):
-		// The command may still be in transit. The other members of a gang wait for it: a
-		// member cannot be replaced alone.
 	case r.phase == phaseStarting:
-		// The worker answers, and has neither carried out nor answered the command for long.
-		w.rememberLateStart(r)
-		r.phase = phaseUnknown
-		l.stopRun(r, "start without an answer")
+		// The command may still be in transit.
 	case r.phase == phaseUnknown:
 		l.stopRun(r, "start without an answer")
 	case r.confirmedAt > 0 && r.confirmedAt <= sent:
--- a/core/scheduler/runs.go
+++ b/core/scheduler/runs.go
@@ -78,8 +78,12 @@
 }
 
 const (
-	// commandTimeout bounds a command to start or throttle a run.
+	// commandTimeout bounds a command to throttle a run or to start a member of a gang, which
+	// cannot be replaced alone.
 	commandTimeout = 1500 * time.Millisecond
+	// startTimeout bounds other starts. Most are answered within some milliseconds; the task
+	// of one without an answer starts elsewhere once its worker has refused it.
+	startTimeout = 600 * time.Millisecond
 	// stopTimeout bounds a command to stop a run. It is shorter, since a stop is repeated
 	// without harm, and its task waits for the answer.
 	stopTimeout = 600 * time.Millisecond
@@ -112,6 +116,9 @@
 	w.recordLeaseEnd(leaseEnd)
 	e := StartTask{WorkerCommand: l.newCommand(w), Task: ref, Run: id, Spec: j.Spec, LeaseEndMS: leaseEnd, Checkpoint: r.checkpoint}
 	e.NotAfter, _ = l.startsUntil()
+	if !r.step.Gang {
+		e.Timeout = startTimeout
+	}
 	// The next leader must not meet a start that is still on its way.
 	e.Timeout = min(e.Timeout, e.NotAfter-l.state.now)
 	e.Ticket, _ = l.ticketFor(w, stepKeyOf(ref), l.state.config.policyOf(&j.Job))
