scheduler: jobs that cannot displace others or run anywhere do not hold up those that can

Change: each pass searches once for runs that give way, for the first job that may displace some; jobs that no worker could run are not promoted.

--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tamarackstep/tamarackstep/core/preemption"
-	"github.com/tamarackstep/tamarackstep/core/structs"
 )
 
 const (
@@ -15,26 +14,32 @@
 	resumeLoss = time.Second
 )
 
-// preemptFor stops runs of a lower priority on a worker where they leave room for a task
-// that no worker has room for, and keeps that room for it.
-func (l *leaderState) preemptFor(j *job, ref structs.TaskRef, f *stepFilter) {
+// preemptFor stops runs of a lower priority on a worker where they leave room for a waiting
+// task of a step that no worker has room for, and keeps that room for it. A pass searches
+// once, for the first task that may displace others.
+func (l *leaderState) preemptFor(j *job, occurrence, step int) {
 	now := l.state.now
-	waited := l.waitedForRoom(j, ref.Occurrence)
+	waited := l.waitedForRoom(j, occurrence)
 	switch {
-	case f.step.BestEffort || now < j.preemptionRetryAt || now < j.roomKeptUntil:
+	case j.Steps[step].BestEffort || now < j.preemptionRetryAt || now < j.roomKeptUntil:
 		return
 	case waited < preemption.Delay:
 		l.schedule.requestPassAt(now + preemption.Delay - waited)
 		return
 	case j.preemptedAt > 0 && now-j.preemptedAt < preemption.Cooldown:
 		return
+	case l.schedule.preemptionSearched:
+		l.schedule.requestPassAt(now + preemptionInterval)
+		return
 	}
+	l.schedule.preemptionSearched = true
 	j.preemptionRetryAt = now + preemptionInterval
 	l.schedule.requestPassAt(j.preemptionRetryAt)
+	f := l.newStepFilter(j, stepKey{j.ID, occurrence, step})
 	if _, free := l.countHolds(f); free <= 0 {
 		return
 	}
-	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.expectedStepWork(ref.Step, 1)}
+	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.expectedStepWork(step, 1)}
 	offers, runs := l.preemptionOffers(f)
 	plan, ok := preemption.Choose(task, offers)
 	if !ok {
@@ -48,7 +53,7 @@
 	}
 	w.keepRoom(keptRoom{job: j, need: task.Need, preempted: true}, holdTime)
 	l.state.logDecision(Decision{
-		Part: "job", Action: "displaces less urgent work", Subject: taskName(ref), Where: string(w.id), Number: uint64(len(plan.Runs)), Age: waited,
+		Part: "job", Action: "displaces less urgent work", Subject: taskName(j.taskRef(occurrence, step, 0)), Where: string(w.id), Number: uint64(len(plan.Runs)), Age: waited,
 	})
 }
 
--- a/core/scheduler/preempt_test.go
+++ b/core/scheduler/preempt_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// TestJobBehindOneThatMayNotDisplace guards against an urgent task that waits for a long run of a
+// lower priority because the job before it, which needs as much room, has too little work to
+// displace that run.
+func TestJobBehindOneThatMayNotDisplace(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.configurePriorities()
+	sim.submitAdvised(jobA, singleStepJob(1, time.Minute, 8000))
+	sim.waitFor(time.Second, "the start of the long task", func() bool { return sim.runningTasks(jobA) == 1 })
+	sim.advance(500 * time.Millisecond)
+	sim.submit(sim.hosts[0], jobB, singleStepJob(1, 100*time.Millisecond, 4000))
+	sim.submit(sim.hosts[0], jobC, singleStepJob(1, 20*time.Second, 4000))
+	sim.waitFor(preemption.Delay+time.Second, "the start of the urgent task", func() bool { return sim.runningTasks(jobC) == 1 })
+}
+
 // TestLaterStepWaitsBeforeItDisplaces guards against runs that give way at once to the tasks of a
 // step that has just become ready, because other tasks of its job have waited for longer.
 func TestLaterStepWaitsBeforeItDisplaces(t *testing.T) {
--- a/core/scheduler/rank.go
+++ b/core/scheduler/rank.go
@@ -71,7 +71,7 @@
 	for i := range ranked {
 		ranked[i].rank = ordering.RankOf(ranked[i].described, l.order.lookahead)
 	}
-	promoteStarving(ranked, now)
+	l.promoteStarving(ranked, now)
 	slices.SortFunc(ranked, func(a, b rankedJob) int {
 		if c := a.rank.Compare(b.rank); c != 0 {
 			return c
@@ -96,15 +96,16 @@
 	return ranked
 }
 
-// promoteStarving promotes, of each priority, the job that has starved longest.
-func promoteStarving(ranked []rankedJob, now Instant) {
+// promoteStarving promotes, of each priority, the job that has starved longest of those that
+// a worker could run.
+func (l *leaderState) promoteStarving(ranked []rankedJob, now Instant) {
 	longest := make(map[int]*rankedJob)
 	for i := range ranked {
 		r := &ranked[i]
 		if r.job.activeRuns > 0 || !ordering.Starves(r.described, r.idle(now)) {
 			continue
 		}
-		if other := longest[r.described.Priority]; other == nil || r.idle(now) > other.idle(now) {
+		if other := longest[r.described.Priority]; (other == nil || r.idle(now) > other.idle(now)) && l.couldRun(r.job) {
 			longest[r.described.Priority] = r
 		}
 	}
@@ -113,6 +114,21 @@
 	}
 }
 
+// couldRun reports whether a worker could run a waiting task of a job if nothing else ran there.
+func (l *leaderState) couldRun(j *job) bool {
+	for occurrence, steps := range j.waitingByStep {
+		for step, waiting := range steps {
+			if waiting == 0 || !j.stepReady(occurrence, step) {
+				continue
+			}
+			if l.newStepFilter(j, stepKey{j.ID, occurrence, step}).runsOnAny(func(*worker) bool { return true }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // timeForWork returns how long some work, in core-seconds, takes at the present rate of
 // the shard; 0 if the rate is not known.
 func (l *leaderState) timeForWork(work float64) time.Duration {
--- a/core/scheduler/rank_test.go
+++ b/core/scheduler/rank_test.go
@@ -27,7 +27,29 @@
 		ranked = append(ranked, rankedJob{j, described, ordering.RankOf(described, time.Second)})
 	}
 	before := ranked[1].rank
-	promoteStarving(ranked, now)
+	l.promoteStarving(ranked, now)
+	if ranked[1].rank.Compare(before) >= 0 {
+		t.Error("the job that starves is not promoted")
+	}
+}
+
+// TestJobWithoutWorkerDoesNotHoldPromotion guards against a job that fits no worker and takes the
+// place of the one job that is promoted for good.
+func TestJobWithoutWorkerDoesNotHoldPromotion(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	l := sim.leader().state.leaderOf(0)
+	now := l.state.now + 10*time.Minute
+	var ranked []rankedJob
+	for i, milliCores := range []int64{99_000, 1000} {
+		row := singleStepJob(1, time.Second, milliCores)
+		row.ID, row.Queue = structs.JobID([]string{jobA, jobB}[i]), queueName
+		j := newJob(row, l.state.now+time.Duration(i)*time.Second)
+		described := l.describeForOrder(j, now)
+		ranked = append(ranked, rankedJob{j, described, ordering.RankOf(described, time.Second)})
+	}
+	before := ranked[1].rank
+	l.promoteStarving(ranked, now)
 	if ranked[1].rank.Compare(before) >= 0 {
 		t.Error("the job that starves is not promoted")
 	}
--- a/core/scheduler/schedule.go
+++ b/core/scheduler/schedule.go
@@ -27,6 +27,8 @@
 	lastPass      Instant
 	scoredWorkers int     // in the last pass
 	wakeAt        Instant // earliest time at which a delayed task may start; 0: none
+
+	preemptionSearched bool // the pass has searched for runs that give way
 }
 
 // requestPass requests a pass at the end of the event.
@@ -82,6 +84,7 @@
 func (l *leaderState) runPass() {
 	now := l.state.now
 	l.starts.expire(now)
+	l.schedule.preemptionSearched = false
 	unplaceable := make(map[demand]bool) // demands that no worker can meet in this pass
 	for _, j := range l.waitingJobs(now) {
 		if l.starts.full() {
@@ -151,6 +154,7 @@
 	}
 	need := l.demandOf(j, step)
 	if unplaceable[need] {
+		l.preemptFor(j, occurrence, step) // the job before may not displace others
 		return
 	}
 	ranking := l.newRanking(j, occurrence, step)
@@ -172,7 +176,7 @@
 				unplaceable[need] = true
 			}
 			l.holdWorkers(j, ref)
-			l.preemptFor(j, ref, ranking.filter)
+			l.preemptFor(j, occurrence, step)
 			return
 		}
 		if !j.claimStored {
