--- a/core/colocation/load.go
+++ b/core/colocation/load.go
@@ -3,15 +3,17 @@
 import "time"
 
 const (
-	// loadDriftVariance is the variance that a serving task's load gains per second.
+	// loadDriftVariance is the variance that a serving task's load gains per second: loads
+	// swing within seconds.
 	loadDriftVariance = 0.0072
-	// peakDecay is how much the recorded peak of a load falls per second.
+	// peakDecay is how much the recorded peak of a load falls per second, so that a peak counts
+	// for some tens of seconds.
 	peakDecay = 0.005
 	// unknownCPUShare is the share of its requested CPU that a serving task is assumed to
-	// use before its load is known.
+	// use before its load is known: it requests what it needs at its peak.
 	unknownCPUShare = 0.55
 	// riseShare is the share of the way to its recorded peak that a load is expected to
-	// rise while a best-effort task runs.
+	// rise while a best-effort task runs, which is short beside the swings of a load.
 	riseShare = 0.2
 )
 
--- a/core/preemption/preemption.go
+++ b/core/preemption/preemption.go
@@ -34,8 +34,8 @@
 	LostWork float64 // what a stop throws away, in core-seconds
 }
 
-// Offer is a worker that could run the waiting task if some runs gave way.
-type Offer struct {
+// Candidate is a worker that could run the waiting task if some runs gave way.
+type Candidate struct {
 	Worker   int // index chosen by the caller
 	Reserved structs.Resources
 	Capacity structs.Resources
@@ -58,11 +58,11 @@
 
 // Choose returns the plan that throws away the least work, or false if none throws away
 // less than the waiting task needs.
-func Choose(t Task, offers []Offer) (Plan, bool) {
+func Choose(t Task, candidates []Candidate) (Plan, bool) {
 	var best Plan
 	found := false
-	for i := range offers {
-		plan, ok := planFor(t, &offers[i])
+	for i := range candidates {
+		plan, ok := planFor(t, &candidates[i])
 		if ok && plan.LostWork < t.Work && (!found || plan.LostWork < best.LostWork) {
 			best, found = plan, true
 		}
@@ -72,13 +72,13 @@
 
 // planFor returns the runs of one worker that give way: those that lose least until the task
 // fits, without those that turn out not to be needed.
-func planFor(t Task, o *Offer) (Plan, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(o.Runs), func(r Run) bool { return r.Priority <= t.Priority })
-	slices.SortStableFunc(candidates, func(a, b Run) int { return cmp.Compare(a.LostWork, b.LostWork) })
-	reserved := o.Reserved
-	fits := func() bool { return reserved.Add(t.Need).Fits(o.Capacity) }
+func planFor(t Task, c *Candidate) (Plan, bool) {
+	stoppable := slices.DeleteFunc(slices.Clone(c.Runs), func(r Run) bool { return r.Priority <= t.Priority })
+	slices.SortStableFunc(stoppable, func(a, b Run) int { return cmp.Compare(a.LostWork, b.LostWork) })
+	reserved := c.Reserved
+	fits := func() bool { return reserved.Add(t.Need).Fits(c.Capacity) }
 	var chosen []Run
-	for _, r := range candidates {
+	for _, r := range stoppable {
 		if fits() {
 			break
 		}
@@ -88,7 +88,7 @@
 	if !fits() || len(chosen) == 0 {
 		return Plan{}, false
 	}
-	plan := Plan{Worker: o.Worker}
+	plan := Plan{Worker: c.Worker}
 	for _, r := range slices.Backward(chosen) {
 		reserved = reserved.Add(r.Reserved)
 		if fits() {
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -40,8 +40,8 @@
 		return
 	}
 	task := preemption.Task{Priority: f.policy.Priority, Need: reservation(f.step), Work: j.expectedStepWork(step, 1)}
-	offers, runs := l.preemptionOffers(f)
-	plan, ok := preemption.Choose(task, offers)
+	candidates, runs := l.preemptionCandidates(f)
+	plan, ok := preemption.Choose(task, candidates)
 	if !ok {
 		return
 	}
@@ -67,28 +67,28 @@
 	return waited
 }
 
-// preemptionOffers returns the workers that could run a task of a step if less urgent runs
+// preemptionCandidates returns the workers that could run a task of a step if less urgent runs
 // gave way, and these runs.
-func (l *leaderState) preemptionOffers(f *stepFilter) ([]preemption.Offer, []*run) {
-	var offers []preemption.Offer
+func (l *leaderState) preemptionCandidates(f *stepFilter) ([]preemption.Candidate, []*run) {
+	var candidates []preemption.Candidate
 	var runs []*run
 	for number, id := range l.workerIDs {
 		w := l.workers[id]
 		if !f.suits(w) || w.keepsRoom() || !w.withinStepLimit(f.key, f.step) || !l.adviceAllows(w, f.key, f.policy) {
 			continue
 		}
-		offer := preemption.Offer{Worker: number, Reserved: w.reserved, Capacity: w.entry.Capacity}
+		candidate := preemption.Candidate{Worker: number, Reserved: w.reserved, Capacity: w.entry.Capacity}
 		for _, r := range w.sortedRuns() {
 			if priority := l.state.config.policyOf(&r.job.Job).Priority; priority > f.policy.Priority && r.preemptible() {
-				offer.Runs = append(offer.Runs, preemption.Run{ID: len(runs), Priority: priority, Reserved: reservation(r.step), LostWork: r.lostWork()})
+				candidate.Runs = append(candidate.Runs, preemption.Run{ID: len(runs), Priority: priority, Reserved: reservation(r.step), LostWork: r.lostWork()})
 				runs = append(runs, r)
 			}
 		}
-		if len(offer.Runs) > 0 {
-			offers = append(offers, offer)
+		if len(candidate.Runs) > 0 {
+			candidates = append(candidates, candidate)
 		}
 	}
-	return offers, runs
+	return candidates, runs
 }
 
 // preemptible reports whether a run may be preempted: a finite one that does not hold up
