--- a/core/scheduler/explain_test.go
+++ b/core/scheduler/explain_test.go
@@ -242,3 +242,19 @@
 		t.Errorf("%d of %d jobs are explained to come first, and %s does", p.JobsBefore, p.JobsWaiting, first.ID)
 	}
 }
+
+// TestExplanationRunsNoPass guards against an explanation that runs the pass which an event before
+// it has requested.
+func TestExplanationRunsNoPass(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.waitForLeader()
+	sim.advance(time.Second)
+	waits := singleStepJob(1, time.Second, 1000)
+	waits.ID, waits.Queue = jobA, queueName
+	l := sim.leader().state.leaderOf(0)
+	l.addJob(waits, 1) // it requests a pass
+	sim.explain(sim.leader(), "/q/", waits)
+	if l.jobs[jobA].ClaimEpoch != 0 {
+		t.Error("the waiting job has been claimed")
+	}
+}
--- a/core/scheduler/quarantine_test.go
+++ b/core/scheduler/quarantine_test.go
@@ -210,6 +210,7 @@
 // gets as many tasks after each isolation as it has room for.
 func TestFailingWorkerIsTestedByOneRun(t *testing.T) {
 	const failingFor = 12 * time.Second
+	const atOnce, isolations = 8, 2 // runs that the worker has room for, isolations in this time
 	sim := newSimulation(t, 1, 8)
 	sim.waitForLeader()
 	f, failed := sim.workers["w03"], 0
@@ -223,16 +224,21 @@
 		})
 		return startAnswered
 	}
-	inIsolation := 0
+	inIsolation, isolatedAt := 0, time.Duration(0)
 	for i := 0; sim.now < failingFor; i++ {
 		sim.submit(sim.hosts[0], fmt.Sprintf("%016x", 0x1000+i), singleStepJob(4, 300*time.Millisecond, 1000))
 		sim.advance(40 * time.Millisecond)
 		if inIsolation == 0 && sim.quarantinedWorkers() > 0 {
-			inIsolation = failed
+			inIsolation, isolatedAt = failed, sim.now
+		}
+		if inIsolation > 0 && sim.now < isolatedAt+minQuarantine {
+			continue // the runs that had started before end
+		}
+		if running := len(f.runs); inIsolation > 0 && running > 1 {
+			t.Fatalf("%d runs test the worker at once, want one", running)
 		}
 	}
-	// After that come the runs that had started before, and one after each isolation.
-	const atOnce, isolations = 8, 2
+	// After the first isolation come the runs that had started before, and one after each.
 	if after := failed - inIsolation; after > atOnce+isolations {
 		t.Errorf("%d runs failed after the first isolation, want %d at most", after, atOnce+isolations)
 	}
